--- a/src/app/agentmain.cpp
+++ b/src/app/agentmain.cpp
@@ -82,7 +82,9 @@
         LOG(INFO) << "draining";
         admission.drain();
     };
-    const auto exitCode = runUntilStopped(drain, [&] { return state.drained.load(); });
+    const auto reload = [] { LOG(INFO) << "settings are read at the start only"; };
+    const auto exitCode = runUntilStopped(
+        {}, drain, [&] { return state.drained.load(); }, reload);
     LOG(INFO) << "stopped";
     admin.stop();
     admission.stop();
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -42,17 +42,29 @@
     return settings;
 }
 
+/// How a process ends once it is told to.
+struct stop_options
+{
+    /// Shortest time from the order to the end, for others to notice that it leaves.
+    std::chrono::milliseconds least{0};
+    /// Longest time; 0 sets none.
+    std::chrono::milliseconds most{0};
+};
+
 /// Runs a started process until it is told to stop. The first SIGTERM or SIGINT calls `drain()`
-/// and waits until `drained()`; a second one ends the wait. Returns the exit code.
-template <typename Drain, typename Drained>
-auto runUntilStopped(Drain &&drain, Drained &&drained) -> int
+/// and waits until `drained()`; a second one ends the wait. SIGHUP calls `reload()`. Returns the
+/// exit code.
+template <typename Drain, typename Drained, typename Reload>
+auto runUntilStopped(stop_options options, Drain &&drain, Drained &&drained, Reload &&reload) -> int
 {
     constexpr std::chrono::milliseconds DRAIN_CHECK{50};
     /// Lets the last frames and bytes leave.
     constexpr std::chrono::milliseconds LINGER{200};
     boost::asio::io_context context;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    boost::asio::signal_set reloads(context, SIGHUP);
     boost::asio::steady_timer timer(context);
+    std::chrono::steady_clock::time_point toldAt;
     int exitCode = 0;
     const auto check = [&](auto &&self) -> void {
         timer.expires_after(DRAIN_CHECK);
@@ -60,7 +72,9 @@
             if (error) {
                 return;
             }
-            if (!drained()) {
+            const auto since = std::chrono::steady_clock::now() - toldAt;
+            const auto overdue = options.most.count() > 0 && since >= options.most;
+            if (!overdue && (since < options.least || !drained())) {
                 self(self);
                 return;
             }
@@ -68,7 +82,17 @@
             timer.async_wait([&](boost::system::error_code) { context.stop(); });
         });
     };
+    const auto awaitReload = [&](auto &&self) -> void {
+        reloads.async_wait([&, self](boost::system::error_code error, int) {
+            if (!error) {
+                reload();
+                self(self);
+            }
+        });
+    };
+    awaitReload(awaitReload);
     signals.async_wait([&](boost::system::error_code, int) {
+        toldAt = std::chrono::steady_clock::now();
         drain();
         check(check);
         signals.async_wait([&](boost::system::error_code, int) {
--- a/src/app/entrymain.cpp
+++ b/src/app/entrymain.cpp
@@ -86,7 +86,9 @@
         balancer.wait();
         dispatch.drain();
     };
-    const auto exitCode = runUntilStopped(drain, [&] { return state.drained.load(); });
+    const auto reload = [] { LOG(INFO) << "settings are read at the start only"; };
+    const auto exitCode = runUntilStopped(
+        {}, drain, [&] { return state.drained.load(); }, reload);
     LOG(INFO) << "stopped";
     callers.stop();
     dispatch.stop();
--- a/src/app/processsettings.cpp
+++ b/src/app/processsettings.cpp
@@ -1,5 +1,6 @@
 #include "app/processsettings.h"
 
+#include "framework/http/endpointsetting.h"
 #include "framework/settings/objectreader.h"
 
 namespace marjoram {
@@ -10,16 +11,6 @@
 constexpr std::int64_t MOST_COUNT = 10'000'000;
 constexpr std::int64_t MOST_TOKENS = 1'000'000'000;
 
-auto readEndpoint(object_reader &from, std::string_view key) -> endpoint
-{
-    const auto text = from.text(key);
-    const auto parsed = parseEndpoint(text);
-    if (!parsed && !text.empty()) {
-        from.fault(key, document_error::out_of_range, parsed.error().message());
-    }
-    return parsed ? *parsed : endpoint{};
-}
-
 /// Reads an optional number into `value`, whose present content is the default.
 auto readNumber(object_reader &from, std::string_view key, auto &value, number_range range) -> void
 {
--- a/src/callers/internal/callersduty.cpp
+++ b/src/callers/internal/callersduty.cpp
@@ -285,7 +285,8 @@
     static auto beginStream(caller_state &to) -> void
     {
         if (!std::exchange(to.streamBegun, true)) {
-            to.connection->startStream("text/event-stream", {});
+            to.connection->startStream(
+                {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}});
         }
     }
     auto acknowledge(std::uint64_t callerId, caller_state &caller) -> void
--- a/src/configuration/configurationduty.h
+++ b/src/configuration/configurationduty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/processstate.h"
 #include "configuration/spreadcore.h"
 #include "framework/metrics/metricset.h"
 #include "framework/metrics/metricssource.h"
@@ -11,7 +12,6 @@
 #include "membership/hostlist.h"
 #include "membership/linktargets.h"
 
-#include <atomic>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -30,15 +30,6 @@
 };
 using configuration_event = std::variant<manifest_changed, hosts_changed>;
 
-/// What every duty of a process may read. Thread safe.
-struct process_state
-{
-    std::atomic<bool> ready{false};
-    std::atomic<bool> draining{false};
-    /// Nothing is in flight any more: a draining process may end.
-    std::atomic<bool> drained{false};
-};
-
 /// Numbers of the configuration in force.
 enum class configuration_metric {
     manifest_version,
--- a/src/configuration/internal/configurationduty.cpp
+++ b/src/configuration/internal/configurationduty.cpp
@@ -1,7 +1,7 @@
 #include "configuration/configurationduty.h"
 
 #include "configuration/hostlistreader.h"
-#include "platform/documentwatch.h"
+#include "publications/documentwatch.h"
 
 #include <glog/logging.h>
 #include <sstream>
--- a/src/configuration/internal/hostlistreader.cpp
+++ b/src/configuration/internal/hostlistreader.cpp
@@ -1,5 +1,6 @@
 #include "configuration/hostlistreader.h"
 
+#include "framework/http/endpointsetting.h"
 #include "framework/settings/objectreader.h"
 
 namespace marjoram {
@@ -14,16 +15,12 @@
     host_list out;
     out.revision = static_cast<std::uint64_t>(root.integer("version", {.least = 1}));
     for (auto &one : root.objects("hosts")) {
-        host_entry entry{.host = one.text("host"),
-                         .role = one.name<process_role>("role"),
-                         .dataCentre = one.text("data_centre"),
-                         .state = one.name<host_state>("state", host_state::live)};
-        const auto inner = parseEndpoint(one.text("inner"));
-        if (inner) {
-            entry.inner = *inner;
-        } else {
-            one.fault("inner", document_error::out_of_range, inner.error().message());
-        }
+        host_entry entry;
+        entry.host = one.text("host");
+        entry.role = one.name<process_role>("role");
+        entry.dataCentre = one.text("data_centre");
+        entry.inner = readEndpoint(one, "inner");
+        entry.state = one.name<host_state>("state", host_state::live);
         one.finish();
         out.hosts.push_back(std::move(entry));
     }
--- /dev/null
+++ b/src/directory/directoryduty.h
@@ -0,0 +1,254 @@
+#pragma once
+
+#include "configuration/processstate.h"
+#include "directory/feed.h"
+#include "forwarding/forwardrings.h"
+#include "framework/eventlog/eventlog.h"
+#include "framework/metrics/metricset.h"
+#include "framework/ring/duty.h"
+#include "framework/ring/ringends.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+
+namespace marjoram {
+
+/// Numbers of the directory.
+enum class directory_metric {
+    configuration_version,
+    configurations_refused,
+    directory_servers,
+    service_lost,
+    service_failures,
+};
+inline constexpr std::array directoryMetricNames{
+    enum_name<directory_metric>{directory_metric::configuration_version, "configuration_version"},
+    enum_name<directory_metric>{directory_metric::configurations_refused, "configurations_refused"},
+    enum_name<directory_metric>{directory_metric::directory_servers, "directory_servers"},
+    enum_name<directory_metric>{directory_metric::service_lost, "directory_service_lost"},
+    enum_name<directory_metric>{directory_metric::service_failures, "directory_service_failures"},
+};
+constexpr auto namesOf(directory_metric) -> const auto &
+{
+    return directoryMetricNames;
+}
+
+/// Options of the directory.
+struct directory_options
+{
+    list_watch_options configuration{.waitMs = 1'500};
+    /// Servers write heartbeats all the time; a pause lets many of them come in one answer.
+    list_watch_options servers{
+        .pauseUs = 1 * US_PER_SECOND, .waitMs = 1'500, .doubtUs = 2 * US_PER_SECOND};
+};
+
+/// Duty that keeps what an entry reads from the users' service: the configuration in force and the
+/// backend servers. Versions of the configuration only go up.
+template <template <typename> typename Source>
+class directory_duty
+{
+public:
+    using source_type = Source<directory_duty>;
+
+    /// Preconditions: references outlive the duty.
+    template <typename SourceOptions>
+    directory_duty(directory_options options, SourceOptions source, ring<directory_event> &events,
+                   log_writer log, process_state &state)
+        : m_source(m_worker.context(), source, *this)
+        , m_events(m_worker.context(), events, BACKLOG_LIMIT)
+        , m_timer(m_worker.context())
+        , m_log(log)
+        , m_state(state)
+        , m_configurationSink{*this}
+        , m_serversSink{*this}
+        , m_configuration(options.configuration, m_clock, systemSeed(), m_configurationSink)
+        , m_servers(options.servers, m_clock, systemSeed(), m_serversSink)
+    {
+        static_assert(directory_source<source_type>);
+    }
+    ~directory_duty() { stop(); }
+
+    auto start() -> void
+    {
+        boost::asio::post(m_worker.context(), [this] {
+            m_configuration.start();
+            m_servers.start();
+        });
+        m_worker.start();
+    }
+    auto stop() -> void { m_worker.stop(); }
+    /// Thread safe.
+    auto metrics() const -> const metric_set<directory_metric> & { return m_metrics; }
+
+    // --- owner of the source, on the duty's thread
+
+    auto onPage(published_page<configuration_text> page) -> void
+    {
+        m_configuration.onPage(std::move(page));
+        arm();
+    }
+    auto onPage(published_page<server_entry> page) -> void
+    {
+        m_servers.onPage(std::move(page));
+        arm();
+    }
+    auto onChanges(std::vector<published<configuration_text>> changes, std::uint64_t revision)
+        -> void
+    {
+        m_configuration.onChanges(std::move(changes), revision);
+        arm();
+    }
+    auto onChanges(std::vector<published<server_entry>> changes, std::uint64_t revision) -> void
+    {
+        m_servers.onChanges(std::move(changes), revision);
+        arm();
+    }
+    auto onCompacted(feed_kind kind) -> void
+    {
+        m_log.write(log_event::dependency_lost,
+                    {{"dependency", std::string("history_of_") + std::string(nameOf(kind))}});
+        kind == feed_kind::configuration ? m_configuration.onCompacted() : m_servers.onCompacted();
+        arm();
+    }
+    auto onFailed(feed_kind kind, std::error_code error) -> void
+    {
+        m_metrics.add(directory_metric::service_failures);
+        m_lastError = error;
+        kind == feed_kind::configuration ? m_configuration.onFailed() : m_servers.onFailed();
+        arm();
+    }
+
+private:
+    static constexpr std::size_t BACKLOG_LIMIT = 1 << 14;
+
+    /// What both feeds do alike.
+    struct feed_sink
+    {
+        directory_duty &duty;
+        feed_kind kind;
+
+        auto list(const std::string &after) -> void { duty.m_source.list(kind, after); }
+        auto watch(std::uint64_t revision, std::int64_t waitMs) -> void
+        {
+            duty.m_source.watch(kind, revision, waitMs);
+        }
+        auto onServiceLost() -> void { duty.onService(kind, true); }
+        auto onServiceRegained() -> void { duty.onService(kind, false); }
+    };
+    struct configuration_sink : feed_sink
+    {
+        explicit configuration_sink(directory_duty &owner)
+            : feed_sink{owner, feed_kind::configuration}
+        { }
+        auto onPublished(const published<configuration_text> &item) -> void
+        {
+            if (item.value) {
+                this->duty.offer(item.value->text);
+            }
+        }
+        auto onSettled() -> void { }
+    };
+    struct servers_sink : feed_sink
+    {
+        explicit servers_sink(directory_duty &owner)
+            : feed_sink{owner, feed_kind::servers}
+        { }
+        auto onPublished(const published<server_entry> &) -> void { }
+        auto onSettled() -> void { this->duty.publishServers(); }
+    };
+
+    auto offer(const std::string &text) -> void
+    {
+        auto content = source_type::readTable(text);
+        if (!content) {
+            m_metrics.add(directory_metric::configurations_refused);
+            m_log.write(log_event::configuration_refused,
+                        {{"reason", content.error().message()},
+                         {"bytes", static_cast<std::int64_t>(text.size())}});
+            return;
+        }
+        if (m_table && content->version <= m_table->version()) {
+            return;
+        }
+        m_table = std::make_shared<const route_table>(std::move(*content));
+        const auto version = static_cast<std::int64_t>(m_table->version());
+        m_metrics.set(directory_metric::configuration_version, version);
+        m_log.write(log_event::configuration_in_force,
+                    {{"version", version},
+                     {"routes", static_cast<std::int64_t>(m_table->content().routes.size())},
+                     {"teams", static_cast<std::int64_t>(m_table->content().teams.size())}});
+        tell(table_changed{m_table});
+        showReady();
+    }
+    auto publishServers() -> void
+    {
+        std::vector<server_entry> entries;
+        for (const auto &[key, item] : m_servers.items()) {
+            if (item.value) {
+                entries.push_back(*item.value);
+            }
+        }
+        if (m_serversListed && entries == m_told) {
+            return;
+        }
+        m_serversListed = true;
+        m_told = entries;
+        m_metrics.set(directory_metric::directory_servers,
+                      static_cast<std::int64_t>(entries.size()));
+        tell(servers_changed{std::move(entries)});
+        showReady();
+    }
+    auto showReady() -> void { m_state.ready = m_table != nullptr && m_serversListed; }
+    auto onService(feed_kind kind, bool lost) -> void
+    {
+        m_metrics.add(directory_metric::service_lost, lost ? 1 : -1);
+        m_log.write(lost ? log_event::dependency_lost : log_event::dependency_regained,
+                    {{"dependency", std::string("directory_service")},
+                     {"feed", std::string(nameOf(kind))},
+                     {"error", lost ? m_lastError.message() : std::string()}});
+    }
+    auto tell(directory_event event) -> void
+    {
+        if (m_events.push(std::move(event))) {
+            LOG(ERROR) << "directory change lost: decisions have fallen behind their backlog limit";
+        }
+    }
+    auto arm() -> void
+    {
+        const auto a = m_configuration.nextTimer();
+        const auto b = m_servers.nextTimer();
+        const auto next = a && b ? std::min(*a, *b) : (a ? a : b);
+        if (!next) {
+            return;
+        }
+        const auto us = std::max<std::int64_t>(0, *next - m_clock.now());
+        m_timer.expires_after(std::chrono::microseconds(us));
+        m_timer.async_wait([this](boost::system::error_code error) {
+            if (error) {
+                return;
+            }
+            m_configuration.onTimer();
+            m_servers.onTimer();
+            arm();
+        });
+    }
+
+    system_clock_source m_clock;
+    duty m_worker{"directory"};
+    source_type m_source;
+    ring_writer<directory_event> m_events;
+    boost::asio::steady_timer m_timer;
+    log_writer m_log;
+    process_state &m_state;
+    metric_set<directory_metric> m_metrics;
+    configuration_sink m_configurationSink;
+    servers_sink m_serversSink;
+    list_watch<configuration_text, system_clock_source, configuration_sink> m_configuration;
+    list_watch<server_entry, system_clock_source, servers_sink> m_servers;
+    route_table_ptr m_table;
+    std::vector<server_entry> m_told;
+    bool m_serversListed = false;
+    std::error_code m_lastError;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/directory/listwatch.h
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "framework/global/clock.h"
+#include "framework/global/identifiers.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marjoram {
+
+/// Something published under a key.
+template <typename Item>
+struct published
+{
+    std::string key;
+    /// Revision of its last change.
+    std::uint64_t revision = 0;
+    /// Nothing where it has been removed, or cannot be read.
+    std::optional<Item> value;
+    /// Whether the key is gone altogether.
+    bool removed = false;
+};
+
+/// A page of what is published.
+template <typename Item>
+struct published_page
+{
+    std::vector<published<Item>> items;
+    bool more = false;
+    /// Revision of the store at the time of the page.
+    std::uint64_t revision = 0;
+};
+
+/// Options of a list_watch.
+struct list_watch_options
+{
+    /// Pause between a watch's answer and the next watch; changes are taken together meanwhile.
+    std::int64_t pauseUs = 0;
+    /// Longest wait of a watch at the service.
+    std::int64_t waitMs = 1'500;
+    /// Shortest and longest pause after a failure; each is drawn from the range.
+    std::int64_t leastRetryUs = 150 * US_PER_MS;
+    std::int64_t mostRetryUs = 400 * US_PER_MS;
+    /// Time for which a removal is doubted after the service was lost: entries may have lapsed
+    /// meanwhile and come back.
+    std::int64_t doubtUs = 0;
+};
+
+/// Takes the actions of a list_watch.
+template <typename S, typename Item>
+concept list_watch_sink = requires(S &sink, const std::string &after, std::uint64_t revision,
+                                   const published<Item> &item)
+{
+    sink.list(after);
+    sink.watch(revision, std::int64_t{});
+    sink.onPublished(item);
+    sink.onSettled();
+    sink.onServiceLost();
+    sink.onServiceRegained();
+};
+
+/// Keeps a copy of everything published under a prefix: lists it, then watches for changes, and
+/// lists anew when the history of changes is no longer available. One call is under way at a time.
+/// Not thread safe: belongs to one duty.
+template <typename Item, clock_source Clock, typename Sink>
+class list_watch
+{
+public:
+    list_watch(list_watch_options options, Clock clock, std::uint64_t seed, Sink &sink)
+        : m_options(options)
+        , m_clock(clock)
+        , m_random(seed)
+        , m_sink(sink)
+    {
+        static_assert(list_watch_sink<Sink, Item>);
+    }
+
+    auto start() -> void { m_sink.list({}); }
+
+    // --- answers of the service
+
+    auto onPage(published_page<Item> page) -> void
+    {
+        onHeard();
+        if (m_listedKeys.empty()) {
+            m_listRevision = page.revision;
+        }
+        const auto last = page.items.empty() ? std::string() : page.items.back().key;
+        for (auto &item : page.items) {
+            m_listedKeys[item.key] = true;
+            take(std::move(item));
+        }
+        if (page.more && !last.empty()) {
+            m_sink.list(last);
+            return;
+        }
+        removeUnlisted();
+        m_revision = m_listRevision;
+        settle();
+    }
+    auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision) -> void
+    {
+        onHeard();
+        for (auto &change : changes) {
+            take(std::move(change));
+        }
+        m_revision = std::max(m_revision, revision);
+        settle();
+    }
+    /// The history of changes is no longer available.
+    auto onCompacted() -> void
+    {
+        onHeard();
+        m_listing = true;
+        m_listedKeys.clear();
+        m_sink.list({});
+    }
+    auto onFailed() -> void
+    {
+        if (!std::exchange(m_lost, true)) {
+            m_sink.onServiceLost();
+        }
+        m_listedKeys.clear();
+        const auto width
+            = static_cast<std::uint64_t>(m_options.mostRetryUs - m_options.leastRetryUs);
+        m_callAt = m_clock.now() + m_options.leastRetryUs
+                   + static_cast<std::int64_t>(m_random() % (width + 1));
+    }
+
+    // --- time
+
+    auto nextTimer() const -> std::optional<time_us>
+    {
+        auto next = m_callAt;
+        if (!m_doubted.empty() && m_doubtUntil && (!next || *m_doubtUntil < *next)) {
+            next = m_doubtUntil;
+        }
+        return next;
+    }
+    auto onTimer() -> void
+    {
+        const auto now = m_clock.now();
+        if (m_callAt && *m_callAt <= now) {
+            m_callAt.reset();
+            call();
+        }
+        if (m_doubtUntil && *m_doubtUntil <= now && !m_lost) {
+            m_doubtUntil.reset();
+            if (m_doubted.empty()) {
+                return;
+            }
+            for (auto &[key, item] : std::exchange(m_doubted, {})) {
+                apply(std::move(item));
+            }
+            m_sink.onSettled();
+        }
+    }
+
+    // --- questions
+
+    auto items() const -> const std::map<std::string, published<Item>> & { return m_items; }
+    auto revision() const -> std::uint64_t { return m_revision; }
+    auto lost() const -> bool { return m_lost; }
+
+private:
+    auto call() -> void
+    {
+        if (m_listing) {
+            m_sink.list({});
+        } else {
+            m_sink.watch(m_revision, m_options.waitMs);
+        }
+    }
+    auto settle() -> void
+    {
+        m_listing = false;
+        m_listedKeys.clear();
+        m_sink.onSettled();
+        m_callAt = m_clock.now() + m_options.pauseUs;
+    }
+    auto onHeard() -> void
+    {
+        if (!std::exchange(m_lost, false)) {
+            return;
+        }
+        m_doubtUntil = m_clock.now() + m_options.doubtUs;
+        m_sink.onServiceRegained();
+    }
+    auto take(published<Item> item) -> void
+    {
+        const auto known = m_items.find(item.key);
+        if (known != m_items.end() && known->second.revision >= item.revision && !item.removed) {
+            m_doubted.erase(item.key);
+            return;
+        }
+        if (item.removed && m_doubtUntil && m_options.doubtUs > 0) {
+            m_doubted.insert_or_assign(item.key, std::move(item));
+            return;
+        }
+        m_doubted.erase(item.key);
+        apply(std::move(item));
+    }
+    auto apply(published<Item> item) -> void
+    {
+        m_sink.onPublished(item);
+        if (item.removed) {
+            m_items.erase(item.key);
+        } else {
+            m_items.insert_or_assign(item.key, std::move(item));
+        }
+    }
+    auto removeUnlisted() -> void
+    {
+        std::vector<std::string> unlisted;
+        for (const auto &[key, item] : m_items) {
+            if (!m_listedKeys.contains(key)) {
+                unlisted.push_back(key);
+            }
+        }
+        for (const auto &key : unlisted) {
+            take({.key = key, .revision = m_listRevision, .removed = true});
+        }
+    }
+
+    list_watch_options m_options;
+    Clock m_clock;
+    random_source m_random;
+    Sink &m_sink;
+    std::map<std::string, published<Item>> m_items;
+    std::map<std::string, published<Item>> m_doubted;
+    std::map<std::string, bool> m_listedKeys;
+    std::uint64_t m_listRevision = 0;
+    std::uint64_t m_revision = 0;
+    bool m_listing = true;
+    bool m_lost = false;
+    std::optional<time_us> m_callAt;
+    std::optional<time_us> m_doubtUntil;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/forwarding/forwardingduty.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "configuration/processstate.h"
+#include "forwarding/forwardingcore.h"
+#include "forwarding/forwardrings.h"
+#include "framework/metrics/metricset.h"
+
+#include <memory>
+
+namespace marjoram {
+
+/// Numbers of the forwarding of requests.
+enum class forwarding_metric {
+    forwarded,
+    answered,
+    refused,
+    failed,
+    cut,
+    sends,
+    moves_ordered,
+    requests_open,
+    servers_known,
+    table_version,
+};
+inline constexpr std::array forwardingMetricNames{
+    enum_name<forwarding_metric>{forwarding_metric::forwarded, "requests_forwarded"},
+    enum_name<forwarding_metric>{forwarding_metric::answered, "requests_answered"},
+    enum_name<forwarding_metric>{forwarding_metric::refused, "requests_refused"},
+    enum_name<forwarding_metric>{forwarding_metric::failed, "requests_failed"},
+    enum_name<forwarding_metric>{forwarding_metric::cut, "streams_cut"},
+    enum_name<forwarding_metric>{forwarding_metric::sends, "server_sends"},
+    enum_name<forwarding_metric>{forwarding_metric::moves_ordered, "run_copies_ordered"},
+    enum_name<forwarding_metric>{forwarding_metric::requests_open, "forwards_open"},
+    enum_name<forwarding_metric>{forwarding_metric::servers_known, "servers_known"},
+    enum_name<forwarding_metric>{forwarding_metric::table_version, "route_table_version"},
+};
+constexpr auto namesOf(forwarding_metric) -> const auto &
+{
+    return forwardingMetricNames;
+}
+
+/// Duty that decides on requests which the entry sends to backend servers itself.
+class forwarding_duty
+{
+public:
+    /// Preconditions: all references outlive the duty.
+    forwarding_duty(forwarding_options options, forward_rings &rings, log_writer log,
+                    process_state &state);
+    ~forwarding_duty();
+
+    auto start() -> void;
+    auto stop() -> void;
+    /// Refuses long work from now on; `drained` of the process state tells the end. Thread safe.
+    auto drain() -> void;
+    /// Thread safe.
+    auto metrics() const -> const metric_set<forwarding_metric> & { return m_metrics; }
+
+    // --- called by ring readers on the duty's thread
+
+    auto handle(forward_event &&event) -> void;
+    auto handle(server_event &&event) -> void;
+    auto handle(directory_event &&event) -> void;
+
+private:
+    struct impl;
+
+    metric_set<forwarding_metric> m_metrics;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/forwarding/forwardrings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "forwarding/forwardtypes.h"
+#include "framework/ring/ring.h"
+#include "servers/serverentry.h"
+
+namespace marjoram {
+
+/// A route table has come into force.
+struct table_changed
+{
+    route_table_ptr table;
+};
+/// The published list of backend servers has changed.
+struct servers_changed
+{
+    std::vector<server_entry> servers;
+};
+/// A backend server's account of itself.
+struct server_reported
+{
+    std::string serverId;
+    server_report report;
+};
+using directory_event = std::variant<table_changed, servers_changed, server_reported>;
+
+/// Rings that join the duties of an entry that forwards requests itself.
+struct forward_rings
+{
+    static constexpr std::size_t CAPACITY = 4'096;
+    static constexpr std::size_t DIRECTORY_CAPACITY = 1'024;
+
+    ring<forward_event> fromCallers{CAPACITY};
+    ring<forward_action> toCallers{CAPACITY};
+    ring<server_event> fromServers{CAPACITY};
+    ring<server_command> toServers{CAPACITY};
+    ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/forwarding/placement.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "framework/global/identifiers.h"
+#include "limits/kvforecast.h"
+#include "manifest/routetable.h"
+#include "servers/serverview.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace marjoram {
+
+/// What is known of the request for which a server is chosen.
+struct placement_ask
+{
+    std::string dataCentre;
+    const pool_entry *pool = nullptr;
+    const std::vector<std::string> *avoided = nullptr;
+    /// Whether it is a generation, which needs memory.
+    bool generation = false;
+    std::uint32_t urgency = 0;
+    /// Memory it needs at the start, and is expected to need at the end.
+    std::uint64_t tokensNow = 0;
+    std::uint64_t tokensExpected = 0;
+    time_us now;
+};
+
+/// Chooses a backend server, or none when none has room.
+template <typename P>
+concept placement_policy
+    = requires(const placement_ask &ask, const std::vector<const server_view *> &usable,
+               random_source &random)
+{
+    {
+        P::choose(ask, usable, random)
+        } -> std::same_as<const server_view *>;
+};
+
+/// Memory of an engine that is taken or spoken for, in tokens.
+inline auto takenTokens(const server_view &view) -> std::uint64_t
+{
+    if (!view.report) {
+        return view.heldTokens;
+    }
+    const auto reported = view.report->usedTokens + view.report->nextTokens + view.tokensSince;
+    return std::max(reported, view.heldTokens);
+}
+
+/// Requests at a server, those sent since its last account included.
+inline auto occupancy(const server_view &view) -> std::uint32_t
+{
+    auto known = view.inFlight;
+    if (view.report) {
+        known = std::max(known, view.report->running + view.report->waiting + view.sentSince);
+    } else if (view.load) {
+        known = std::max(known, view.load->running + view.load->waiting);
+    }
+    return known;
+}
+
+/// The server with the least of its memory or slots taken; equal ones are drawn at random, so that
+/// processes with the same old view do not all choose alike. An engine without room is not chosen.
+struct most_room
+{
+    static auto choose(const placement_ask &ask, const std::vector<const server_view *> &usable,
+                       random_source &random) -> const server_view *
+    {
+        const server_view *best = nullptr;
+        double bestScore = 0.0;
+        for (const auto *view : usable) {
+            const auto &avoided = *ask.avoided;
+            if (std::find(avoided.begin(), avoided.end(), view->entry.id) != avoided.end()
+                || !hasRoom(ask, *view)) {
+                continue;
+            }
+            const auto score = scoreOf(ask, *view) + jitter(random);
+            if (!best || score < bestScore) {
+                best = view;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+    static auto hasRoom(const placement_ask &ask, const server_view &view) -> bool
+    {
+        if (!ask.generation || !ask.pool->engine) {
+            return true;
+        }
+        const auto &engine = *ask.pool->engine;
+        const auto capacity = view.report && view.report->capacityTokens > 0
+                                  ? view.report->capacityTokens
+                                  : engine.memoryTokens;
+        const auto usable = static_cast<double>(capacity) * USABLE_MEMORY;
+        return occupancy(view) < engine.slots
+               && static_cast<double>(takenTokens(view) + ask.tokensExpected) <= usable;
+    }
+
+private:
+    /// Memory beyond this share is left to the growth of what runs.
+    static constexpr double USABLE_MEMORY = 0.92;
+    /// A remote server is chosen when it is this much emptier.
+    static constexpr double REMOTE_PENALTY = 0.03;
+    static constexpr double COLD_PENALTY = 0.5;
+    /// Width of the draw between servers that look alike.
+    static constexpr double JITTER = 0.04;
+    static constexpr double PER_WAITING = 0.10;
+
+    static auto jitter(random_source &random) -> double
+    {
+        return JITTER * static_cast<double>(random() >> 11) * 0x1.0p-53;
+    }
+    static auto scoreOf(const placement_ask &ask, const server_view &view) -> double
+    {
+        auto score = view.entry.dataCentre == ask.dataCentre ? 0.0 : REMOTE_PENALTY;
+        score += view.coldUntil > ask.now ? COLD_PENALTY : 0.0;
+        const auto slots = std::max<std::uint32_t>(1, view.entry.slots);
+        const auto bySlots = static_cast<double>(occupancy(view)) / slots;
+        if (!ask.generation || !ask.pool->engine) {
+            return score + bySlots;
+        }
+        const auto capacity = std::max<std::uint64_t>(1, ask.pool->engine->memoryTokens);
+        const auto waiting = view.report ? view.report->waiting + view.sentSince : view.sentSince;
+        const auto byMemory
+            = static_cast<double>(takenTokens(view)) / static_cast<double>(capacity);
+        return score + std::max(byMemory, bySlots) + PER_WAITING * waiting;
+    }
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/forwarding/requeststate.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "forwarding/forwardtypes.h"
+#include "framework/global/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marjoram {
+
+/// How far a request has got.
+enum class request_phase { waiting, sent, streaming };
+inline constexpr std::array requestPhaseNames{
+    enum_name<request_phase>{request_phase::waiting, "waiting"},
+    enum_name<request_phase>{request_phase::sent, "sent"},
+    enum_name<request_phase>{request_phase::streaming, "streaming"},
+};
+constexpr auto namesOf(request_phase) -> const auto &
+{
+    return requestPhaseNames;
+}
+
+/// How far the move of a running generation to another engine has got.
+enum class move_stage { copying, copied, stopping, stopped };
+inline constexpr std::array moveStageNames{
+    enum_name<move_stage>{move_stage::copying, "copying"},
+    enum_name<move_stage>{move_stage::copied, "copied"},
+    enum_name<move_stage>{move_stage::stopping, "stopping"},
+    enum_name<move_stage>{move_stage::stopped, "stopped"},
+};
+constexpr auto namesOf(move_stage) -> const auto &
+{
+    return moveStageNames;
+}
+
+/// Move of a running generation.
+struct run_move
+{
+    move_stage stage = move_stage::copying;
+    std::uint64_t copyId = 0;
+    std::string targetId;
+    endpoint target;
+    /// Tokens counted in at the target.
+    std::uint64_t tokens = 0;
+    /// Names the copy at the target, once there is one.
+    std::string handle;
+    /// The source has ended its stream.
+    bool sourceEnded = false;
+    time_us startedAt;
+    /// When the run is stopped and the rest is copied.
+    time_us stopAt;
+};
+
+/// One sending of a request to a backend server.
+struct request_run
+{
+    std::uint64_t exchangeId = 0;
+    std::string serverId;
+    endpoint server;
+    /// Memory counted in at the server, in tokens.
+    std::uint64_t tokens = 0;
+    /// Goes on from a copy of an earlier run's memory, so that it is the same run.
+    bool goesOn = false;
+    time_us sentAt;
+};
+
+/// A request from when it is read until its answer is complete.
+struct request_state
+{
+    std::uint64_t number = 0;
+    /// 0 once the caller has left.
+    std::uint64_t callerId = 0;
+    forward_request_ptr request;
+    /// Keeps `route` alive.
+    route_table_ptr table;
+    const route_entry *route = nullptr;
+    const pool_entry *pool = nullptr;
+    std::string team;
+    std::uint32_t urgency = 0;
+    time_us openedAt;
+    time_us deadline;
+    /// End of the wait for room.
+    time_us waitUntil;
+    request_phase phase = request_phase::waiting;
+    request_run run;
+    std::optional<run_move> move;
+    /// Sends that may have begun to run.
+    std::uint32_t attempts = 0;
+    std::uint32_t sends = 0;
+    /// Servers that have failed or refused this request.
+    std::vector<std::string> avoided;
+    /// Targets that had no room for a copy.
+    std::vector<std::string> fullTargets;
+    bool streamGiven = false;
+    std::uint64_t lastEvent = 0;
+    std::uint64_t eventsGiven = 0;
+
+    auto generation() const -> bool { return route->kind == work_kind::generation; }
+    auto engine() const -> const engine_traits *
+    {
+        return pool && pool->engine ? &*pool->engine : nullptr;
+    }
+    /// Tokens made so far, as far as the events tell.
+    auto producedTokens() const -> std::uint32_t
+    {
+        const auto perEvent = engine() ? engine()->tokensPerEvent : 1;
+        return static_cast<std::uint32_t>(lastEvent * perEvent);
+    }
+    auto promptTokens() const -> std::uint32_t { return request->generation.promptTokens; }
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/framework/eventlog/eventlog.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "framework/global/clock.h"
+#include "framework/metrics/metricset.h"
+#include "framework/ring/duty.h"
+#include "framework/ring/ring.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace marjoram {
+
+/// What a log line tells.
+enum class log_event {
+    process_started,
+    process_stopping,
+    process_stopped,
+    settings_reloaded,
+    settings_refused,
+    dependency_lost,
+    dependency_regained,
+    configuration_in_force,
+    configuration_refused,
+    server_joined,
+    server_leaving,
+    server_gone,
+    server_ejected,
+    server_restored,
+    request_refused,
+    request_waiting,
+    request_sent,
+    request_retried,
+    request_moving,
+    request_moved,
+    request_answered,
+    request_failed,
+    caller_left,
+    lines_dropped,
+};
+inline constexpr std::array logEventNames{
+    enum_name<log_event>{log_event::process_started, "process_started"},
+    enum_name<log_event>{log_event::process_stopping, "process_stopping"},
+    enum_name<log_event>{log_event::process_stopped, "process_stopped"},
+    enum_name<log_event>{log_event::settings_reloaded, "settings_reloaded"},
+    enum_name<log_event>{log_event::settings_refused, "settings_refused"},
+    enum_name<log_event>{log_event::dependency_lost, "dependency_lost"},
+    enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
+    enum_name<log_event>{log_event::configuration_in_force, "configuration_in_force"},
+    enum_name<log_event>{log_event::configuration_refused, "configuration_refused"},
+    enum_name<log_event>{log_event::server_joined, "server_joined"},
+    enum_name<log_event>{log_event::server_leaving, "server_leaving"},
+    enum_name<log_event>{log_event::server_gone, "server_gone"},
+    enum_name<log_event>{log_event::server_ejected, "server_ejected"},
+    enum_name<log_event>{log_event::server_restored, "server_restored"},
+    enum_name<log_event>{log_event::request_refused, "request_refused"},
+    enum_name<log_event>{log_event::request_waiting, "request_waiting"},
+    enum_name<log_event>{log_event::request_sent, "request_sent"},
+    enum_name<log_event>{log_event::request_retried, "request_retried"},
+    enum_name<log_event>{log_event::request_moving, "request_moving"},
+    enum_name<log_event>{log_event::request_moved, "request_moved"},
+    enum_name<log_event>{log_event::request_answered, "request_answered"},
+    enum_name<log_event>{log_event::request_failed, "request_failed"},
+    enum_name<log_event>{log_event::caller_left, "caller_left"},
+    enum_name<log_event>{log_event::lines_dropped, "lines_dropped"},
+};
+constexpr auto namesOf(log_event) -> const auto &
+{
+    return logEventNames;
+}
+
+/// One named value of a line.
+struct log_field
+{
+    std::string_view name;
+    std::variant<std::int64_t, double, std::string> value;
+};
+
+/// One line. Names of fields are literals.
+struct log_line
+{
+    log_event event = log_event::process_started;
+    std::int64_t unixMs = 0;
+    /// Empty where no request is concerned.
+    std::string requestId;
+    std::vector<log_field> fields;
+};
+
+/// The line as one JSON object. Thread safe.
+auto toJsonLine(const log_line &line, std::string_view host) -> std::string;
+
+/// Numbers of the log.
+enum class log_metric { lines_written, lines_dropped };
+inline constexpr std::array logMetricNames{
+    enum_name<log_metric>{log_metric::lines_written, "log_lines_written"},
+    enum_name<log_metric>{log_metric::lines_dropped, "log_lines_dropped"},
+};
+constexpr auto namesOf(log_metric) -> const auto &
+{
+    return logMetricNames;
+}
+
+/// A duty's way to the log: a full ring drops and counts the line. Not thread safe: belongs to
+/// the producing duty.
+class log_writer
+{
+public:
+    log_writer(ring<log_line> &lines, metric_set<log_metric> &metrics)
+        : m_lines(lines)
+        , m_metrics(metrics)
+    { }
+
+    auto write(log_event event, std::string requestId, std::vector<log_field> fields) -> void
+    {
+        if (m_lines.tryPush({.event = event,
+                             .unixMs = m_clock.unixMs(),
+                             .requestId = std::move(requestId),
+                             .fields = std::move(fields)})) {
+            m_metrics.add(log_metric::lines_dropped);
+        }
+    }
+    auto write(log_event event, std::vector<log_field> fields) -> void
+    {
+        write(event, {}, std::move(fields));
+    }
+
+private:
+    ring<log_line> &m_lines;
+    metric_set<log_metric> &m_metrics;
+    system_clock_source m_clock;
+};
+
+/// Options of the log.
+struct event_log_options
+{
+    std::string host;
+    /// Lines of one duty that may wait to be written.
+    std::size_t ringCapacity = 2'048;
+    /// Pause between writes; lines are written together to spare wake-ups.
+    std::int64_t flushMs = 200;
+    /// Lines a second beyond which lines are dropped and counted.
+    std::size_t linesPerSecond = 1'000;
+};
+
+/// Duty that writes lines to standard output. Lines that it cannot write in time are dropped and
+/// counted; producers never wait.
+class event_log
+{
+public:
+    explicit event_log(event_log_options options);
+    ~event_log();
+
+    /// Writer for one producing duty. Precondition: called before start().
+    auto addWriter() -> log_writer;
+    auto start() -> void;
+    /// Writes what is left and joins. Idempotent.
+    auto stop() -> void;
+    /// Thread safe.
+    auto metrics() const -> const metric_set<log_metric> & { return m_metrics; }
+
+private:
+    auto flushLater() -> void;
+    auto flush() -> void;
+    auto drainInto(std::string &out) -> void;
+    auto reportDropped(std::string &out) -> void;
+
+    event_log_options m_options;
+    metric_set<log_metric> m_metrics;
+    system_clock_source m_clock;
+    std::vector<std::unique_ptr<ring<log_line>>> m_rings;
+    duty m_duty{"log"};
+    boost::asio::steady_timer m_timer{m_duty.context()};
+    time_us m_windowStart;
+    std::size_t m_windowLines = 0;
+    std::int64_t m_droppedTold = 0;
+    bool m_stopped = false;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/framework/http/eventsplitter.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoram {
+
+/// One whole server-sent event.
+struct stream_event
+{
+    std::optional<std::uint64_t> id;
+    /// As received, the closing blank line included.
+    std::string bytes;
+};
+
+/// Cuts a server-sent event stream into whole events. Not thread safe.
+class event_splitter
+{
+public:
+    /// Longest event that is taken.
+    static constexpr std::size_t EVENT_LIMIT_BYTES = 1024 * 1024;
+
+    /// Appends the events that `bytes` complete to `out`; false when an event is too long, after
+    /// which the splitter must not be used.
+    auto feed(std::string_view bytes, std::vector<stream_event> &out) -> bool;
+    /// Whether an event has begun and not ended.
+    auto midEvent() const -> bool { return !m_event.empty(); }
+
+private:
+    auto endLine() -> bool;
+
+    std::string m_event;
+    std::size_t m_lineStart = 0;
+    std::optional<std::uint64_t> m_id;
+};
+
+} // namespace marjoram
--- a/src/framework/http/httpfetch.h
+++ b/src/framework/http/httpfetch.h
@@ -11,19 +11,6 @@
 
 namespace marjoram {
 
-/// How far an exchange got; only `connecting` proves that the peer saw nothing of it.
-enum class fetch_phase { connecting, writing, reading, finished };
-inline constexpr std::array fetchPhaseNames{
-    enum_name<fetch_phase>{fetch_phase::connecting, "connecting"},
-    enum_name<fetch_phase>{fetch_phase::writing, "writing"},
-    enum_name<fetch_phase>{fetch_phase::reading, "reading"},
-    enum_name<fetch_phase>{fetch_phase::finished, "finished"},
-};
-constexpr auto namesOf(fetch_phase) -> const auto &
-{
-    return fetchPhaseNames;
-}
-
 /// How an exchange ended.
 struct fetch_outcome
 {
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -48,14 +48,18 @@
     /// Answers the request whole. Precondition: no response has begun.
     auto respond(http_response response) -> void
     {
+        stopWatching();
         m_response = {};
         m_response.version(HTTP_VERSION);
         m_response.result(static_cast<unsigned>(response.status));
-        m_response.set(boost::beast::http::field::content_type, response.contentType);
+        if (!response.contentType.empty()) {
+            m_response.set(boost::beast::http::field::content_type, response.contentType);
+        }
         for (const auto &header : response.headers) {
-            m_response.set(header.name, header.value);
+            m_response.insert(header.name, header.value);
         }
         m_response.body() = std::move(response.body);
+        m_keepAlive = m_keepAlive && !m_server.closing();
         m_response.keep_alive(m_keepAlive);
         m_response.prepare_payload();
         m_stream.expires_after(m_server.limits().writeTimeout);
@@ -67,21 +71,19 @@
     }
 
     /// Begins a chunked response. Precondition: no response has begun.
-    auto startStream(std::string_view contentType, const std::vector<http_header> &headers) -> void
+    auto startStream(const std::vector<http_header> &headers) -> void
     {
         m_head = {};
         m_head.version(HTTP_VERSION);
         m_head.result(boost::beast::http::status::ok);
-        m_head.set(boost::beast::http::field::content_type, contentType);
-        m_head.set(boost::beast::http::field::cache_control, "no-store");
         for (const auto &header : headers) {
-            m_head.set(header.name, header.value);
+            m_head.insert(header.name, header.value);
         }
+        m_keepAlive = m_keepAlive && !m_server.closing();
         m_head.keep_alive(m_keepAlive);
         m_head.chunked(true);
         m_serializer.emplace(m_head);
         m_writing = true;
-        m_streaming = true;
         m_streamEnded = false;
         m_stream.expires_after(m_server.limits().writeTimeout);
         boost::beast::http::async_write_header(
@@ -89,7 +91,6 @@
             [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
                 self->onChunkWritten(error);
             });
-        watchForClose();
     }
     /// Adds bytes to the stream. Precondition: a stream has begun and has not been finished.
     auto sendChunk(std::string_view bytes) -> void
@@ -152,6 +153,8 @@
         m_stream.expires_never();
         takeRequest();
         ++m_served;
+        m_answering = true;
+        watchForClose();
         m_server.app().onRequest(this->shared_from_this());
     }
     auto refuse(boost::beast::http::status status) -> void
@@ -221,8 +224,7 @@
     auto writeLastChunk() -> void
     {
         m_writing = true;
-        m_streaming = false;
-        m_stream.socket().cancel();
+        stopWatching();
         boost::asio::async_write(
             m_stream, boost::beast::http::make_chunk_last(),
             [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
@@ -240,17 +242,27 @@
     }
     auto onReadable(boost::beast::error_code error) -> void
     {
-        if (error || !m_streaming) {
+        if (error || !m_answering) {
             return;
         }
+        // Bytes of a next request end the watch: whether the caller leaves is not seen behind them.
         char byte = 0;
         boost::beast::error_code peekError;
         m_stream.socket().receive(boost::asio::buffer(&byte, 1),
                                   boost::asio::socket_base::message_peek, peekError);
-        if (peekError && peekError != boost::asio::error::would_block) {
+        if (peekError == boost::asio::error::would_block) {
+            watchForClose();
+        } else if (peekError) {
             close();
         }
     }
+    auto stopWatching() -> void
+    {
+        if (std::exchange(m_answering, false)) {
+            boost::beast::error_code ignored;
+            m_stream.socket().cancel(ignored);
+        }
+    }
     auto leave() -> void
     {
         if (m_left) {
@@ -276,7 +288,8 @@
     std::uint64_t m_served = 0;
     bool m_keepAlive = true;
     bool m_writing = false;
-    bool m_streaming = false;
+    /// A request has been read and its answer is not complete.
+    bool m_answering = false;
     bool m_streamEnded = false;
     bool m_left = false;
 };
@@ -341,6 +354,12 @@
         m_acceptor.close(ignored);
     }
 
+    /// Bounds for requests that begin from now on.
+    auto setLimits(http_limits limits) -> void { m_limits = limits; }
+    /// From now on each answer closes its connection.
+    auto closeAfterAnswers() -> void { m_closing = true; }
+    auto closing() const -> bool { return m_closing; }
+
     auto app() -> App & { return m_app; }
     auto limits() const -> const http_limits & { return m_limits; }
     auto connections() const -> std::size_t { return m_sessions.size(); }
@@ -400,6 +419,7 @@
     App &m_app;
     http_limits m_limits;
     std::uint64_t m_lastId = 0;
+    bool m_closing = false;
     std::unordered_map<std::uint64_t, std::weak_ptr<http_session<App>>> m_sessions;
 };
 
--- a/src/framework/http/httptypes.h
+++ b/src/framework/http/httptypes.h
@@ -16,6 +16,9 @@
     std::string value;
 };
 
+/// Value of the first field of a name, compared without case; empty when absent. Thread safe.
+auto findHeader(const std::vector<http_header> &headers, std::string_view name) -> std::string_view;
+
 /// A request, as received or to be sent.
 struct http_request
 {
@@ -41,6 +44,19 @@
     std::string body;
 };
 
+/// How far an exchange got; only `connecting` proves that the peer saw nothing of it.
+enum class fetch_phase { connecting, writing, reading, finished };
+inline constexpr std::array fetchPhaseNames{
+    enum_name<fetch_phase>{fetch_phase::connecting, "connecting"},
+    enum_name<fetch_phase>{fetch_phase::writing, "writing"},
+    enum_name<fetch_phase>{fetch_phase::reading, "reading"},
+    enum_name<fetch_phase>{fetch_phase::finished, "finished"},
+};
+constexpr auto namesOf(fetch_phase) -> const auto &
+{
+    return fetchPhaseNames;
+}
+
 /// Address of a TCP listener by IP number.
 struct endpoint
 {
--- a/src/framework/http/internal/httptypes.cpp
+++ b/src/framework/http/internal/httptypes.cpp
@@ -6,7 +6,7 @@
 
 namespace marjoram {
 
-auto http_request::header(std::string_view name) const -> std::string_view
+auto findHeader(const std::vector<http_header> &headers, std::string_view name) -> std::string_view
 {
     for (const auto &field : headers) {
         if (boost::algorithm::iequals(field.name, name)) {
@@ -16,6 +16,11 @@
     return {};
 }
 
+auto http_request::header(std::string_view name) const -> std::string_view
+{
+    return findHeader(headers, name);
+}
+
 auto http_request::path() const -> std::string_view
 {
     const std::string_view whole(target);
--- a/src/framework/http/tests/httptests.cpp
+++ b/src/framework/http/tests/httptests.cpp
@@ -12,7 +12,7 @@
     auto onRequest(const std::shared_ptr<http_session<echo_app>> &session) -> void
     {
         if (session->request().path() == "/stream") {
-            session->startStream("text/event-stream", {});
+            session->startStream({{"Content-Type", "text/event-stream"}});
             session->sendChunk("one ");
             session->sendChunk("two");
             session->finishStream();
--- /dev/null
+++ b/src/gateway/gatewayduty.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "forwarding/forwardrings.h"
+#include "framework/eventlog/eventlog.h"
+#include "framework/http/httpserver.h"
+#include "framework/ring/duty.h"
+#include "framework/ring/ringends.h"
+
+#include <glog/logging.h>
+#include <memory>
+
+namespace marjoram {
+
+/// Translates between HTTP as callers speak it and requests.
+template <typename C>
+concept caller_codec = requires(const http_request &received, const give_failure &failed)
+{
+    {
+        C::decode(received, std::uint64_t{})
+        } -> std::same_as<result<forward_request>>;
+    {
+        C::encode(failed)
+        } -> std::same_as<http_response>;
+};
+
+/// Duty that reads callers' requests and writes their answers unchanged. It decides nothing.
+template <caller_codec Codec>
+class gateway_duty
+{
+public:
+    using session = http_session<gateway_duty>;
+    using session_ptr = std::shared_ptr<session>;
+
+    /// Preconditions: rings outlive the duty.
+    gateway_duty(endpoint listen, forward_rings &rings, log_writer log)
+        : m_listen(std::move(listen))
+        , m_server(m_worker.context(), *this, {})
+        , m_events(m_worker.context(), rings.fromCallers, BACKLOG_LIMIT)
+        , m_actions(m_worker.context(), rings.toCallers, *this)
+        , m_log(log)
+    { }
+    ~gateway_duty() { stop(); }
+
+    /// Opens the listener. Errors: those of the socket calls. Call before start().
+    auto listen() -> result<endpoint> { return m_server.listen(m_listen); }
+    auto start() -> void
+    {
+        m_actions.start();
+        m_worker.start();
+    }
+    auto stop() -> void { m_worker.stop(); }
+
+    // --- application of the HTTP server, on the duty's thread
+
+    auto onRequest(const session_ptr &from) -> void
+    {
+        auto decoded = Codec::decode(from->request(), from->id());
+        if (!decoded) {
+            refuse(from, static_cast<failure>(decoded.error().value()));
+            return;
+        }
+        auto request = std::make_shared<const forward_request>(std::move(*decoded));
+        if (m_events.congested() || m_events.push(open_forward{std::move(request)})) {
+            refuse(from, failure::overloaded);
+        }
+    }
+    auto onDrained(session &) -> void { }
+    auto onClosed(session &from) -> void { m_events.push(forward_caller_left{from.id()}); }
+    auto refusal(int status) -> http_response { return {.status = status, .contentType = {}}; }
+
+    // --- called by the ring reader on the duty's thread
+
+    auto handle(forward_action &&action) -> void
+    {
+        std::visit([this](auto &&one) { on(std::forward<decltype(one)>(one)); }, std::move(action));
+    }
+
+private:
+    static constexpr std::size_t BACKLOG_LIMIT = 1 << 14;
+    /// Bytes of a stream that its caller has not taken, beyond which it is cut.
+    static constexpr std::size_t UNREAD_LIMIT_BYTES = 1024 * 1024;
+
+    auto refuse(const session_ptr &from, failure reason) -> void
+    {
+        m_log.write(log_event::request_refused, {{"reason", std::string(nameOf(reason))}});
+        from->respond(Codec::encode(give_failure{.callerId = from->id(), .reason = reason}));
+    }
+    auto on(give_answer &&answer) -> void
+    {
+        if (const auto to = m_server.find(answer.callerId)) {
+            to->respond({.status = answer.status,
+                         .contentType = {},
+                         .headers = std::move(answer.headers),
+                         .body = std::move(answer.body)});
+        }
+    }
+    auto on(const give_stream &begun) -> void
+    {
+        if (const auto to = m_server.find(begun.callerId)) {
+            to->startStream(begun.headers);
+        }
+    }
+    auto on(const give_events &events) -> void
+    {
+        const auto to = m_server.find(events.callerId);
+        if (!to) {
+            return;
+        }
+        to->sendChunk(events.bytes);
+        if (to->backlogBytes() > UNREAD_LIMIT_BYTES) {
+            to->close();
+        }
+    }
+    auto on(const give_end &ended) -> void
+    {
+        if (const auto to = m_server.find(ended.callerId)) {
+            to->finishStream();
+        }
+    }
+    auto on(const give_cut &cut) -> void
+    {
+        if (const auto to = m_server.find(cut.callerId)) {
+            to->close();
+        }
+    }
+    auto on(const give_failure &failed) -> void
+    {
+        if (const auto to = m_server.find(failed.callerId)) {
+            to->respond(Codec::encode(failed));
+        }
+    }
+    auto on(const bound_callers &changed) -> void
+    {
+        m_server.setLimits(
+            {.headerBytes = changed.bounds.headerBytes,
+             .bodyBytes = changed.bounds.bodyBytes,
+             .requestTimeout = std::chrono::milliseconds(changed.bounds.idleTimeoutMs),
+             .idleTimeout = std::chrono::milliseconds(changed.bounds.idleTimeoutMs)});
+    }
+    auto on(const close_after_answers &) -> void { m_server.closeAfterAnswers(); }
+
+    endpoint m_listen;
+    duty m_worker{"gateway"};
+    http_server<gateway_duty> m_server;
+    ring_writer<forward_event> m_events;
+    ring_reader<forward_action, gateway_duty> m_actions;
+    log_writer m_log;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/limits/retrywindow.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "framework/global/clock.h"
+
+#include <deque>
+
+namespace marjoram {
+
+/// How many repeated sends all processes together may add to the fresh requests of a window.
+struct retry_window_options
+{
+    double ratio = 0.2;
+    std::int64_t windowUs = 10 * US_PER_SECOND;
+    /// Repeats allowed beyond the ratio.
+    double slack = 10.0;
+};
+
+/// Budget of repeated sends over a sliding window, so that retries cannot multiply an overload.
+/// Not thread safe: belongs to one duty.
+class retry_window
+{
+public:
+    explicit retry_window(retry_window_options options)
+        : m_options(options)
+    { }
+    auto noteFresh(time_us now) -> void
+    {
+        forget(now);
+        m_fresh.push_back(now);
+    }
+    /// Takes one repeat; false when the budget is spent.
+    auto tryTake(time_us now) -> bool
+    {
+        forget(now);
+        const auto allowed
+            = m_options.slack + m_options.ratio * static_cast<double>(m_fresh.size());
+        if (static_cast<double>(m_repeats.size() + 1) > allowed) {
+            return false;
+        }
+        m_repeats.push_back(now);
+        return true;
+    }
+
+private:
+    auto forget(time_us now) -> void
+    {
+        const auto since = now + -m_options.windowUs;
+        dropBefore(m_fresh, since);
+        dropBefore(m_repeats, since);
+    }
+    static auto dropBefore(std::deque<time_us> &times, time_us since) -> void
+    {
+        while (!times.empty() && times.front() < since) {
+            times.pop_front();
+        }
+    }
+
+    retry_window_options m_options;
+    std::deque<time_us> m_fresh;
+    std::deque<time_us> m_repeats;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/manifest/routetable.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "framework/global/enumnames.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjoram {
+
+/// What may be done with a request when its outcome is unknown.
+enum class work_kind { repeatable, at_most_once, generation };
+inline constexpr std::array workKindNames{
+    enum_name<work_kind>{work_kind::repeatable, "repeatable"},
+    enum_name<work_kind>{work_kind::at_most_once, "at_most_once"},
+    enum_name<work_kind>{work_kind::generation, "generation"},
+};
+constexpr auto namesOf(work_kind) -> const auto &
+{
+    return workKindNames;
+}
+
+/// A pool's part of a route's requests.
+struct pool_share
+{
+    std::string pool;
+    std::uint32_t weight = 1;
+};
+
+/// Requests of one host and path prefix, and how they are served.
+struct route_entry
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string pathPrefix;
+    work_kind kind = work_kind::at_most_once;
+    /// Longest time a request may take at all.
+    std::int64_t timeoutMs = 0;
+    /// Time within which an answer, or a generation's first event, is worth most.
+    std::int64_t latencyTargetMs = 0;
+    /// Longest pause between a generation's events that callers do not notice.
+    std::int64_t pauseTargetMs = 0;
+    /// Backend servers that one request may be sent to.
+    std::uint32_t attempts = 1;
+    /// 0 is served first.
+    std::uint32_t urgency = 0;
+    std::vector<pool_share> pools;
+    /// Whether callers need no key.
+    bool open = false;
+    /// Whether a broken generation may be begun anew behind its last event.
+    bool resumable = false;
+};
+
+/// What a pool of engines can do.
+struct engine_traits
+{
+    std::uint32_t slots = 1;
+    std::uint64_t memoryTokens = 0;
+    std::uint64_t bytesPerToken = 0;
+    double linkMbps = 0.0;
+    /// Whether a running generation's memory can be copied to another engine.
+    bool moves = false;
+    /// Whether an engine can keep a standing copy of another's generation.
+    bool copies = false;
+    std::uint32_t tokensPerEvent = 1;
+};
+
+/// Backend servers that serve the same requests.
+struct pool_entry
+{
+    std::string name;
+    /// Connections that one backend server takes from all processes together.
+    std::uint32_t connectionLimit = 0;
+    std::optional<engine_traits> engine;
+};
+
+/// A team by its keys.
+struct team_keys
+{
+    std::string name;
+    std::vector<std::string> keys;
+    /// Goes before the urgency of the route.
+    std::optional<std::uint32_t> urgency;
+};
+
+/// Bounds on what a caller may send.
+struct caller_bounds
+{
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::int64_t headerTimeoutMs = 3'000;
+    std::int64_t idleTimeoutMs = 15'000;
+};
+
+/// Content of a route table.
+struct route_table_content
+{
+    std::uint64_t version = 0;
+    std::vector<route_entry> routes;
+    std::vector<pool_entry> pools;
+    std::vector<team_keys> teams;
+    caller_bounds bounds;
+    /// Whether callers need keys at all.
+    bool keyed = false;
+};
+
+/// The part of an approved configuration by which requests are forwarded. Immutable, so all
+/// functions are thread safe; what they return lives as long as the table.
+class route_table
+{
+public:
+    explicit route_table(route_table_content content);
+
+    auto version() const -> std::uint64_t { return m_content.version; }
+    auto content() const -> const route_table_content & { return m_content; }
+    /// Route of the host whose prefix is the longest that begins the path, or null.
+    auto findRoute(std::string_view host, std::string_view path) const -> const route_entry *;
+    /// Team that holds a key, or null.
+    auto findTeam(std::string_view key) const -> const team_keys *;
+    /// Pool of a name, or null.
+    auto findPool(std::string_view name) const -> const pool_entry *;
+
+private:
+    route_table_content m_content;
+    /// Routes of a host, longest prefix first.
+    std::unordered_map<std::string, std::vector<std::size_t>> m_routesOf;
+    std::unordered_map<std::string, std::size_t> m_teamOf;
+};
+
+using route_table_ptr = std::shared_ptr<const route_table>;
+
+} // namespace marjoram
--- a/src/operators/adminduty.h
+++ b/src/operators/adminduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/configurationduty.h"
+#include "configuration/processstate.h"
 #include "framework/http/httptypes.h"
 #include "framework/metrics/metricssource.h"
 
--- /dev/null
+++ b/src/servers/internal/serverdirectory.cpp
@@ -0,0 +1,191 @@
+#include "servers/serverdirectory.h"
+
+#include <algorithm>
+
+namespace marjoram {
+
+namespace {
+
+/// The list writes a cold time once; from then on it runs down here.
+auto freshView(const server_entry &entry, time_us now) -> server_view
+{
+    return {.entry = entry, .coldUntil = now + entry.coldLeftMs * US_PER_MS};
+}
+
+} // namespace
+
+auto server_directory::onServers(const std::vector<server_entry> &entries, time_us now)
+    -> server_changes
+{
+    server_changes out;
+    std::map<std::string, server_view, std::less<>> kept;
+    for (const auto &entry : entries) {
+        auto node = m_views.extract(entry.id);
+        const auto known = !node.empty() && node.mapped().entry.bornUnixMs == entry.bornUnixMs
+                           && node.mapped().entry.address == entry.address;
+        auto view = known ? std::move(node.mapped()) : freshView(entry, now);
+        view.entry = entry;
+        if (!known) {
+            out.joined.push_back(entry.id);
+        }
+        if (entry.state == server_state::leaving && !view.leaving) {
+            view.leaving = true;
+            out.leaving.push_back(entry.id);
+        }
+        kept.emplace(entry.id, std::move(view));
+    }
+    for (const auto &[id, view] : m_views) {
+        out.gone.push_back(id);
+    }
+    m_views = std::move(kept);
+    return out;
+}
+
+auto server_directory::onReport(const std::string &id, server_report report, time_us now) -> bool
+{
+    auto *view = at(id);
+    if (!view) {
+        return false;
+    }
+    const auto leaves = report.state == server_state::leaving || report.leavesMs.has_value();
+    const auto news = leaves && !view->leaving;
+    view->leaving = view->leaving || leaves;
+    if (report.leavesMs) {
+        view->goneAt = now + *report.leavesMs * US_PER_MS;
+    }
+    view->report = std::move(report);
+    view->reportAt = now;
+    view->sentSince = 0;
+    view->tokensSince = 0;
+    return news;
+}
+
+auto server_directory::onLoad(const std::string &id, const load_note &load, time_us now) -> void
+{
+    if (auto *view = at(id)) {
+        view->load = load;
+        view->loadAt = now;
+        if (!view->report) {
+            view->sentSince = 0;
+        }
+    }
+}
+
+auto server_directory::noteLeaving(const std::string &id) -> bool
+{
+    auto *view = at(id);
+    return view && !std::exchange(view->leaving, true);
+}
+
+auto server_directory::noteSent(const std::string &id, std::uint64_t tokens) -> void
+{
+    if (auto *view = at(id)) {
+        ++view->inFlight;
+        ++view->sentSince;
+        view->heldTokens += tokens;
+        view->tokensSince += tokens;
+    }
+}
+
+auto server_directory::noteEnded(const std::string &id, std::uint64_t tokens) -> void
+{
+    if (auto *view = at(id)) {
+        view->inFlight -= std::min<std::uint32_t>(view->inFlight, 1);
+        view->heldTokens -= std::min(view->heldTokens, tokens);
+    }
+}
+
+auto server_directory::noteSuccess(const std::string &id) -> void
+{
+    if (auto *view = at(id)) {
+        view->failuresInRow = 0;
+        view->failureShare *= 1.0 - m_options.outcomeWeight;
+        ++view->outcomes;
+    }
+}
+
+auto server_directory::noteFailure(const std::string &id, time_us now) -> bool
+{
+    auto *view = at(id);
+    if (!view) {
+        return false;
+    }
+    view->failureShare
+        = view->failureShare * (1.0 - m_options.outcomeWeight) + m_options.outcomeWeight;
+    ++view->outcomes;
+    ++view->failuresInRow;
+    const auto inRow = view->failuresInRow >= m_options.failuresToEject;
+    const auto byShare = view->outcomes >= m_options.outcomesToJudge
+                         && view->failureShare >= m_options.failureShareToEject;
+    return (inRow || byShare) && mayEject(*view, now) && eject(*view, now);
+}
+
+auto server_directory::noteImpostor(const std::string &id, time_us now) -> void
+{
+    if (auto *view = at(id)) {
+        view->ejectedUntil = now + m_options.longestEjectionUs;
+    }
+}
+
+auto server_directory::find(std::string_view id) const -> const server_view *
+{
+    const auto found = m_views.find(id);
+    return found == m_views.end() ? nullptr : &found->second;
+}
+
+auto server_directory::usableFor(std::string_view pool, time_us now) const
+    -> std::vector<const server_view *>
+{
+    std::vector<const server_view *> all;
+    std::vector<const server_view *> healthy;
+    for (const auto &[id, view] : m_views) {
+        if (view.entry.pool != pool || view.leaving) {
+            continue;
+        }
+        all.push_back(&view);
+        if (view.ejectedUntil <= now) {
+            healthy.push_back(&view);
+        }
+    }
+    return healthy.empty() ? all : healthy;
+}
+
+auto server_directory::sizeOf(std::string_view pool) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_views.begin(), m_views.end(),
+                      [pool](const auto &named) { return named.second.entry.pool == pool; }));
+}
+
+auto server_directory::at(const std::string &id) -> server_view *
+{
+    const auto found = m_views.find(id);
+    return found == m_views.end() ? nullptr : &found->second;
+}
+
+auto server_directory::mayEject(const server_view &view, time_us now) const -> bool
+{
+    std::size_t ejected = 1;
+    std::size_t all = 0;
+    for (const auto &[id, other] : m_views) {
+        if (other.entry.pool != view.entry.pool || other.leaving) {
+            continue;
+        }
+        ++all;
+        ejected += &other != &view && other.ejectedUntil > now ? 1 : 0;
+    }
+    return static_cast<double>(ejected) <= m_options.mostEjectedShare * static_cast<double>(all);
+}
+
+auto server_directory::eject(server_view &view, time_us now) const -> bool
+{
+    const auto doubled = m_options.firstEjectionUs << std::min<std::uint32_t>(view.ejections, 8);
+    view.ejectedUntil = now + std::min(doubled, m_options.longestEjectionUs);
+    view.failuresInRow = 0;
+    view.outcomes = 0;
+    view.failureShare = 0.0;
+    ++view.ejections;
+    return true;
+}
+
+} // namespace marjoram
--- /dev/null
+++ b/src/servers/serverdirectory.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "servers/serverview.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjoram {
+
+/// Options of an entry's view of the backend servers.
+struct server_directory_options
+{
+    /// Failures in a row that eject a server.
+    std::uint32_t failuresToEject = 3;
+    /// Share of failures that ejects a server, once enough outcomes are known.
+    double failureShareToEject = 0.35;
+    std::uint32_t outcomesToJudge = 8;
+    /// Weight of the newest outcome in the share of failures.
+    double outcomeWeight = 0.15;
+    std::int64_t firstEjectionUs = 1 * US_PER_SECOND;
+    std::int64_t longestEjectionUs = 8 * US_PER_SECOND;
+    /// Largest share of a pool that may be ejected at once.
+    double mostEjectedShare = 0.34;
+};
+
+/// How a published list differs from the one before it.
+struct server_changes
+{
+    std::vector<std::string> joined;
+    std::vector<std::string> leaving;
+    std::vector<std::string> gone;
+};
+
+/// An entry's views of the backend servers, and which of them may get new work.
+/// Not thread safe: belongs to one duty.
+class server_directory
+{
+public:
+    explicit server_directory(server_directory_options options)
+        : m_options(options)
+    { }
+
+    // --- events
+
+    /// Takes the whole published list.
+    auto onServers(const std::vector<server_entry> &entries, time_us now) -> server_changes;
+    /// Takes a server's own account; true when it tells for the first time that it leaves.
+    auto onReport(const std::string &id, server_report report, time_us now) -> bool;
+    auto onLoad(const std::string &id, const load_note &load, time_us now) -> void;
+    /// Marks a server as leaving on other evidence; true when it was not known to leave.
+    auto noteLeaving(const std::string &id) -> bool;
+    auto noteSent(const std::string &id, std::uint64_t tokens) -> void;
+    auto noteEnded(const std::string &id, std::uint64_t tokens) -> void;
+    auto noteSuccess(const std::string &id) -> void;
+    /// Counts a failure; true when it ejects the server.
+    auto noteFailure(const std::string &id, time_us now) -> bool;
+    /// Ejects a server that is not the one it is listed as, until its entry changes.
+    auto noteImpostor(const std::string &id, time_us now) -> void;
+
+    // --- questions
+
+    auto find(std::string_view id) const -> const server_view *;
+    /// Servers of a pool that may get new work. Ejection is ignored when it would leave nobody.
+    /// Valid until the next event.
+    auto usableFor(std::string_view pool, time_us now) const -> std::vector<const server_view *>;
+    /// Servers of a pool, whatever their state.
+    auto sizeOf(std::string_view pool) const -> std::size_t;
+    auto views() const -> const std::map<std::string, server_view, std::less<>> &
+    {
+        return m_views;
+    }
+
+private:
+    auto at(const std::string &id) -> server_view *;
+    auto mayEject(const server_view &view, time_us now) const -> bool;
+    auto eject(server_view &view, time_us now) const -> bool;
+
+    server_directory_options m_options;
+    std::map<std::string, server_view, std::less<>> m_views;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/servers/serverentry.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "framework/global/enumnames.h"
+#include "framework/http/httptypes.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marjoram {
+
+/// Whether a backend server takes new work.
+enum class server_state { ready, leaving };
+inline constexpr std::array serverStateNames{
+    enum_name<server_state>{server_state::ready, "ready"},
+    enum_name<server_state>{server_state::leaving, "leaving"},
+};
+constexpr auto namesOf(server_state) -> const auto &
+{
+    return serverStateNames;
+}
+
+/// A backend server as it is published.
+struct server_entry
+{
+    std::string id;
+    std::string pool;
+    endpoint address;
+    std::string dataCentre;
+    std::uint32_t slots = 1;
+    server_state state = server_state::ready;
+    /// Time for which a started server is still slow, from when the entry was written.
+    std::int64_t coldLeftMs = 0;
+    /// Start of the process: tells a restarted server from its predecessor of the same id.
+    std::int64_t bornUnixMs = 0;
+
+    friend auto operator==(const server_entry &, const server_entry &) -> bool = default;
+};
+
+/// A generation on an engine, as the engine tells it.
+struct server_run
+{
+    /// Id of the request that runs.
+    std::string requestId;
+    std::uint64_t memoryTokens = 0;
+    std::uint64_t events = 0;
+    std::uint32_t urgency = 0;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.requestId);
+        visit(self.memoryTokens);
+        visit(self.events);
+        visit(self.urgency);
+    }
+};
+
+/// An engine's own account of itself.
+struct server_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Memory that running generations and reservations hold.
+    std::uint64_t usedTokens = 0;
+    std::uint64_t capacityTokens = 0;
+    /// Memory that the first waiting request needs.
+    std::uint64_t nextTokens = 0;
+    server_state state = server_state::ready;
+    /// Time until the engine is taken away, when it is known.
+    std::optional<std::int64_t> leavesMs;
+    std::int64_t bornUnixMs = 0;
+    std::vector<server_run> runs;
+};
+
+/// Load that comes along with an answer.
+struct load_note
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+} // namespace marjoram
--- /dev/null
+++ b/src/servers/serverview.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "framework/global/clock.h"
+#include "servers/serverentry.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace marjoram {
+
+/// What an entry knows of one backend server, and of its own work there.
+struct server_view
+{
+    server_entry entry;
+    /// End of the time for which the server is slow after its start.
+    time_us coldUntil;
+    /// Set once it is known to leave, whoever told first.
+    bool leaving = false;
+    /// When it is expected to be gone; only with `leaving`.
+    std::optional<time_us> goneAt;
+
+    // --- load
+    std::optional<load_note> load;
+    time_us loadAt;
+    std::optional<server_report> report;
+    time_us reportAt;
+    /// This process's requests that are under way there.
+    std::uint32_t inFlight = 0;
+    /// Memory of this process's generations there, in tokens, as forecast.
+    std::uint64_t heldTokens = 0;
+    /// Requests and tokens sent since the last load or report, which cannot know them.
+    std::uint32_t sentSince = 0;
+    std::uint64_t tokensSince = 0;
+
+    // --- health
+    /// Share of failed requests, the recent ones weighing most.
+    double failureShare = 0.0;
+    std::uint32_t outcomes = 0;
+    std::uint32_t failuresInRow = 0;
+    std::uint32_t ejections = 0;
+    time_us ejectedUntil;
+};
+
+} // namespace marjoram
--- a/src/standins/internal/enginestandin.cpp
+++ b/src/standins/internal/enginestandin.cpp
@@ -102,7 +102,7 @@
     state.lengthLimited = most != 0 && most < wanted;
     const auto length = state.lengthLimited ? most : wanted;
     const auto id = ++m_started;
-    from->startStream("text/event-stream", {});
+    from->startStream({{"Content-Type", "text/event-stream"}});
     m_model.submit({.id = id,
                     .promptTokens = static_cast<std::uint32_t>(prompt.size() / BYTES_PER_TOKEN + 1),
                     .produced = state.produced,
--- /dev/null
+++ b/src/upstream/upstreamduty.h
@@ -0,0 +1,454 @@
+#pragma once
+
+#include "forwarding/forwardrings.h"
+#include "framework/global/clock.h"
+#include "framework/http/httpchannel.h"
+#include "framework/metrics/metricset.h"
+#include "framework/ring/duty.h"
+#include "framework/ring/ringends.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+#include <unordered_map>
+
+namespace marjoram {
+
+/// Whose answer a backend server has sent.
+enum class answer_identity { expected, of_another_request, unnamed };
+inline constexpr std::array answerIdentityNames{
+    enum_name<answer_identity>{answer_identity::expected, "expected"},
+    enum_name<answer_identity>{answer_identity::of_another_request, "of_another_request"},
+    enum_name<answer_identity>{answer_identity::unnamed, "unnamed"},
+};
+constexpr auto namesOf(answer_identity) -> const auto &
+{
+    return answerIdentityNames;
+}
+
+/// Translates between requests and HTTP as backend servers speak it.
+template <typename C>
+concept server_codec
+    = requires(const send_forward &send, const copy_run &copy, const drop_copy &drop,
+               const channel_head &head, const std::string &requestId, std::string_view body)
+{
+    {
+        C::encode(send)
+        } -> std::same_as<http_request>;
+    {
+        C::encode(copy)
+        } -> std::same_as<http_request>;
+    {
+        C::encode(drop)
+        } -> std::same_as<http_request>;
+    {
+        C::identify(head, requestId)
+        } -> std::same_as<answer_identity>;
+    {
+        C::decode(head)
+        } -> std::same_as<answer_head>;
+    {
+        C::isEventStream(head)
+        } -> std::same_as<bool>;
+    {
+        C::idleMs(head)
+        } -> std::same_as<std::optional<std::int64_t>>;
+    {
+        C::decodeCopied(std::uint64_t{}, 200, body)
+        } -> std::same_as<run_copied>;
+};
+
+/// Why an exchange failed although its connection held.
+enum class upstream_error { answer_too_large = 1, not_named, event_too_large, overdue, torn_event };
+inline constexpr std::array upstreamErrorNames{
+    enum_name<upstream_error>{upstream_error::answer_too_large, "answer too large"},
+    enum_name<upstream_error>{upstream_error::not_named, "answer names no request"},
+    enum_name<upstream_error>{upstream_error::event_too_large, "event too large"},
+    enum_name<upstream_error>{upstream_error::overdue, "no answer in time"},
+    enum_name<upstream_error>{upstream_error::torn_event, "stream ended within an event"},
+};
+constexpr auto namesOf(upstream_error) -> const auto &
+{
+    return upstreamErrorNames;
+}
+constexpr auto categoryNameOf(upstream_error) -> const char *
+{
+    return "backend server";
+}
+inline auto make_error_code(upstream_error e) -> std::error_code
+{
+    return errorCode(e);
+}
+
+/// Numbers of the connections to backend servers.
+enum class upstream_metric { connections_opened, connections_reused, answers_skipped };
+inline constexpr std::array upstreamMetricNames{
+    enum_name<upstream_metric>{upstream_metric::connections_opened, "server_connections_opened"},
+    enum_name<upstream_metric>{upstream_metric::connections_reused, "server_connections_reused"},
+    enum_name<upstream_metric>{upstream_metric::answers_skipped, "server_answers_skipped"},
+};
+constexpr auto namesOf(upstream_metric) -> const auto &
+{
+    return upstreamMetricNames;
+}
+
+/// Options of the connections to backend servers.
+struct upstream_options
+{
+    channel_options channels;
+    /// Idle time after which a connection is closed where the server names none.
+    std::int64_t idleMs = 3'000;
+    /// A connection is closed this long before the server would close it.
+    std::int64_t idleMarginMs = 1'000;
+    /// Idle time up to which a connection counts as fresh.
+    std::int64_t freshMs = 500;
+    /// Time for an order to copy.
+    std::int64_t copyTimeoutMs = 2'500;
+    /// Time beyond a request's deadline after which its exchange is given up.
+    std::int64_t overdueMs = 1'000;
+    std::size_t bodyLimitBytes = 8 * 1024 * 1024;
+};
+
+/// Duty that keeps the connections to backend servers, sends requests over them and hands on what
+/// comes back, in whole answers or whole events. It decides nothing.
+template <server_codec Codec>
+class upstream_duty
+{
+public:
+    using channel = http_channel<upstream_duty>;
+
+    /// Precondition: rings outlive the duty.
+    upstream_duty(upstream_options options, forward_rings &rings)
+        : m_options(options)
+        , m_events(m_worker.context(), rings.fromServers, BACKLOG_LIMIT)
+        , m_commands(m_worker.context(), rings.toServers, *this)
+        , m_sweepTimer(m_worker.context())
+    { }
+    ~upstream_duty() { stop(); }
+
+    auto start() -> void
+    {
+        m_commands.start();
+        m_worker.start();
+    }
+    auto stop() -> void { m_worker.stop(); }
+    /// Thread safe.
+    auto metrics() const -> const metric_set<upstream_metric> & { return m_metrics; }
+
+    // --- called by the ring reader on the duty's thread
+
+    auto handle(server_command &&command) -> void
+    {
+        std::visit([this](auto &&one) { on(std::forward<decltype(one)>(one)); },
+                   std::move(command));
+    }
+
+    // --- owner of the channels
+
+    auto onHead(channel &from, const channel_head &head) -> head_verdict
+    {
+        auto &one = m_exchanges.at(from.id());
+        if (one.kind == exchange_kind::forward) {
+            switch (Codec::identify(head, one.send.request->requestId)) {
+            case answer_identity::of_another_request:
+                m_metrics.add(upstream_metric::answers_skipped);
+                return head_verdict::skip;
+            case answer_identity::unnamed:
+                one.error = make_error_code(upstream_error::not_named);
+                break;
+            case answer_identity::expected:
+                break;
+            }
+            one.head = Codec::decode(head);
+        }
+        one.request = {};
+        one.status = head.status;
+        one.idleMs = Codec::idleMs(head);
+        constexpr int OK = 200;
+        one.streaming = one.kind == exchange_kind::forward && one.send.stream && head.status == OK
+                        && !one.error && Codec::isEventStream(head);
+        if (one.streaming) {
+            tell(stream_begun{.exchangeId = one.send.exchangeId, .head = one.head});
+        }
+        return head_verdict::take;
+    }
+    auto onBody(channel &from, std::string_view bytes) -> void
+    {
+        auto &one = m_exchanges.at(from.id());
+        if (!one.streaming) {
+            if (one.body.size() + bytes.size() > m_options.bodyLimitBytes) {
+                one.error = make_error_code(upstream_error::answer_too_large);
+                return;
+            }
+            one.body.append(bytes);
+            return;
+        }
+        std::vector<stream_event> events;
+        if (!one.splitter.feed(bytes, events)) {
+            one.error = make_error_code(upstream_error::event_too_large);
+        }
+        if (!events.empty()) {
+            tell(stream_advanced{.exchangeId = one.send.exchangeId, .events = std::move(events)});
+        }
+    }
+    auto onDone(channel &from, const channel_outcome &outcome) -> void
+    {
+        const auto found = m_exchanges.find(from.id());
+        auto one = std::move(found->second);
+        m_exchanges.erase(found);
+        m_channelOf.erase(one.send.exchangeId);
+        if (one.reused && outcome.phase == fetch_phase::connecting) {
+            // The peer had closed the idle connection; nothing of the request was sent.
+            m_channels.erase(from.id());
+            begin(from.peer(), nullptr, std::move(one));
+            return;
+        }
+        if (outcome.reusable && !one.error) {
+            keep(from, one.idleMs);
+        } else {
+            m_channels.erase(from.id());
+        }
+        report(std::move(one), outcome);
+    }
+    auto onIdleClosed(channel &from) -> void { forgetIdle(from.id(), from.peer()); }
+
+private:
+    enum class exchange_kind { forward, copy, drop };
+    struct exchange
+    {
+        exchange_kind kind = exchange_kind::forward;
+        send_forward send;
+        std::uint64_t copyId = 0;
+        /// Kept until the answer begins, in case an idle connection turns out to be closed.
+        http_request request;
+        bool reused = false;
+        answer_head head;
+        int status = 0;
+        std::optional<std::int64_t> idleMs;
+        bool streaming = false;
+        event_splitter splitter;
+        std::string body;
+        std::error_code error;
+        time_us overdueAt;
+    };
+    struct idle_channel
+    {
+        std::uint64_t channelId = 0;
+        time_us since;
+        time_us until;
+    };
+    using channel_ptr = std::shared_ptr<channel>;
+
+    static constexpr std::size_t BACKLOG_LIMIT = 1 << 16;
+    static constexpr std::chrono::milliseconds SWEEP_INTERVAL{500};
+
+    auto on(send_forward &&send) -> void
+    {
+        const auto server = send.server;
+        auto idle = takeIdle(server, send.freshConnection);
+        exchange one{.kind = exchange_kind::forward,
+                     .request = Codec::encode(send),
+                     .overdueAt = dueIn(send.deadlineMs + m_options.overdueMs)};
+        one.send = std::move(send);
+        begin(server, std::move(idle), std::move(one));
+    }
+    auto on(const cancel_forward &cancelled) -> void
+    {
+        const auto found = m_channelOf.find(cancelled.exchangeId);
+        if (found == m_channelOf.end()) {
+            return;
+        }
+        drop(found->second);
+        m_channelOf.erase(found);
+    }
+    auto on(const copy_run &copy) -> void
+    {
+        begin(copy.source, takeIdle(copy.source, false),
+              {.kind = exchange_kind::copy,
+               .copyId = copy.copyId,
+               .request = Codec::encode(copy),
+               .overdueAt = dueIn(m_options.copyTimeoutMs)});
+    }
+    auto on(const drop_copy &dropped) -> void
+    {
+        const auto &source = dropped.copy.source;
+        begin(source, takeIdle(source, false),
+              {.kind = exchange_kind::drop,
+               .request = Codec::encode(dropped),
+               .overdueAt = dueIn(m_options.copyTimeoutMs)});
+    }
+    auto dueIn(std::int64_t ms) const -> time_us { return m_clock.now() + ms * US_PER_MS; }
+    /// Starts an exchange on an idle channel, or on a new one where there is none.
+    auto begin(const endpoint &server, channel_ptr to, exchange one) -> void
+    {
+        one.reused = to != nullptr;
+        m_metrics.add(one.reused ? upstream_metric::connections_reused
+                                 : upstream_metric::connections_opened);
+        if (!to) {
+            to = std::make_shared<channel>(m_worker.context(), *this, ++m_lastChannelId, server,
+                                           m_options.channels);
+            m_channels.emplace(to->id(), to);
+        }
+        if (one.kind == exchange_kind::forward) {
+            m_channelOf.insert_or_assign(one.send.exchangeId, to->id());
+        }
+        const auto request = one.request;
+        m_exchanges.insert_or_assign(to->id(), std::move(one));
+        sweepLater();
+        to->start(request);
+    }
+    auto drop(std::uint64_t channelId) -> void
+    {
+        const auto found = m_channels.find(channelId);
+        if (found != m_channels.end()) {
+            found->second->close();
+            m_channels.erase(found);
+        }
+        m_exchanges.erase(channelId);
+    }
+
+    // --- idle connections
+
+    auto takeIdle(const endpoint &server, bool fresh) -> channel_ptr
+    {
+        const auto found = m_idle.find(toText(server));
+        if (found == m_idle.end() || found->second.empty()) {
+            return nullptr;
+        }
+        const auto newest = found->second.back();
+        const auto now = m_clock.now();
+        const auto limit = fresh ? newest.since + m_options.freshMs * US_PER_MS : newest.until;
+        if (now >= std::min(limit, newest.until)) {
+            return nullptr;
+        }
+        found->second.pop_back();
+        return m_channels.at(newest.channelId);
+    }
+    auto keep(channel &from, std::optional<std::int64_t> namedMs) -> void
+    {
+        const auto idleMs = namedMs ? *namedMs - m_options.idleMarginMs : m_options.idleMs;
+        if (idleMs <= 0) {
+            from.close();
+            m_channels.erase(from.id());
+            return;
+        }
+        const auto now = m_clock.now();
+        m_idle[toText(from.peer())].push_back(
+            {.channelId = from.id(), .since = now, .until = now + idleMs * US_PER_MS});
+        from.idle();
+        sweepLater();
+    }
+    auto forgetIdle(std::uint64_t channelId, const endpoint &peer) -> void
+    {
+        const auto found = m_idle.find(toText(peer));
+        if (found != m_idle.end()) {
+            std::erase_if(found->second, [channelId](const idle_channel &one) {
+                return one.channelId == channelId;
+            });
+        }
+        m_channels.erase(channelId);
+    }
+    auto sweepLater() -> void
+    {
+        if (std::exchange(m_sweeping, true)) {
+            return;
+        }
+        m_sweepTimer.expires_after(SWEEP_INTERVAL);
+        m_sweepTimer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                m_sweeping = false;
+                sweep();
+            }
+        });
+    }
+    auto sweep() -> void
+    {
+        const auto now = m_clock.now();
+        std::vector<std::uint64_t> overdue;
+        for (const auto &[channelId, one] : m_exchanges) {
+            if (one.overdueAt <= now) {
+                overdue.push_back(channelId);
+            }
+        }
+        for (const auto channelId : overdue) {
+            giveUp(channelId);
+        }
+        for (auto &[peer, channels] : m_idle) {
+            std::erase_if(channels, [&](const idle_channel &one) {
+                if (one.until > now) {
+                    return false;
+                }
+                drop(one.channelId);
+                return true;
+            });
+        }
+        std::erase_if(m_idle, [](const auto &named) { return named.second.empty(); });
+        if (!m_exchanges.empty() || !m_idle.empty()) {
+            sweepLater();
+        }
+    }
+    auto giveUp(std::uint64_t channelId) -> void
+    {
+        auto one = std::move(m_exchanges.at(channelId));
+        m_channelOf.erase(one.send.exchangeId);
+        drop(channelId);
+        report(std::move(one),
+               {.error = make_error_code(upstream_error::overdue), .phase = fetch_phase::reading});
+    }
+
+    // --- outcomes
+
+    auto report(exchange one, const channel_outcome &outcome) -> void
+    {
+        switch (one.kind) {
+        case exchange_kind::forward:
+            reportForward(std::move(one), outcome);
+            break;
+        case exchange_kind::copy:
+            tell(outcome.error ? run_copied{.copyId = one.copyId}
+                               : Codec::decodeCopied(one.copyId, one.status, one.body));
+            break;
+        case exchange_kind::drop:
+            break;
+        }
+    }
+    auto reportForward(exchange one, const channel_outcome &outcome) -> void
+    {
+        const auto id = one.send.exchangeId;
+        if (!outcome.error && !one.error && one.splitter.midEvent()) {
+            one.error = make_error_code(upstream_error::torn_event);
+        }
+        const auto error = one.error ? one.error : outcome.error;
+        if (error) {
+            tell(exchange_failed{.exchangeId = id, .phase = outcome.phase, .error = error});
+        } else if (one.streaming) {
+            tell(stream_completed{id});
+        } else {
+            tell(server_answered{
+                .exchangeId = id, .head = std::move(one.head), .body = std::move(one.body)});
+        }
+    }
+    auto tell(server_event event) -> void
+    {
+        if (m_events.push(std::move(event))) {
+            LOG(ERROR) << "answer lost: decisions have fallen behind their backlog limit";
+        }
+    }
+
+    upstream_options m_options;
+    system_clock_source m_clock;
+    duty m_worker{"upstream"};
+    ring_writer<server_event> m_events;
+    ring_reader<server_command, upstream_duty> m_commands;
+    boost::asio::steady_timer m_sweepTimer;
+    bool m_sweeping = false;
+    metric_set<upstream_metric> m_metrics;
+    std::unordered_map<std::uint64_t, channel_ptr> m_channels;
+    std::unordered_map<std::uint64_t, exchange> m_exchanges;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_channelOf;
+    std::unordered_map<std::string, std::vector<idle_channel>> m_idle;
+    std::uint64_t m_lastChannelId = 0;
+};
+
+} // namespace marjoram
+
+MARJORAM_ERROR_ENUM(marjoram::upstream_error)
