Reporters beside the runners; runs leave one after the other by a shared plan

Change: a small process beside each runner reads its report for free and tells entries that ask; all entries derive the same order from the same report and move one run at a time; an unlisted server is remembered while it serves on.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -52,10 +52,11 @@
 
     /// Preconditions: references outlive the duty.
     template <typename SourceOptions>
-    directory_duty(directory_options options, SourceOptions source, ring<directory_event> &events,
+    directory_duty(directory_options options, SourceOptions source, forward_rings &rings,
                    log_writer log, process_state &state)
         : m_source(m_worker.context(), source, *this)
-        , m_events(m_worker.context(), events, BACKLOG_LIMIT)
+        , m_events(m_worker.context(), rings.fromDirectory, BACKLOG_LIMIT)
+        , m_toReports(m_worker.context(), rings.directoryToReports, BACKLOG_LIMIT)
         , m_timer(m_worker.context())
         , m_log(log)
         , m_state(state)
@@ -195,6 +196,9 @@
         m_told = entries;
         m_metrics.set(directory_metric::directory_servers,
                       static_cast<std::int64_t>(entries.size()));
+        if (m_toReports.push(servers_changed{entries})) {
+            LOG(ERROR) << "servers lost: the reports' duty has fallen behind its backlog limit";
+        }
         tell(servers_changed{std::move(entries)});
         showReady();
     }
@@ -237,6 +241,7 @@
     duty m_worker{"directory"};
     source_type m_source;
     ring_writer<directory_event> m_events;
+    ring_writer<servers_changed> m_toReports;
     boost::asio::steady_timer m_timer;
     log_writer m_log;
     process_state &m_state;
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -72,21 +72,33 @@
     {
         const auto changes = m_directory.onServers(entries, m_clock.now());
         for (const auto &id : changes.joined) {
-            m_sink.log(log_event::server_joined, {}, {{"server", id}});
+            const auto &entry = m_directory.find(id)->entry;
+            m_sink.log(log_event::server_joined, {},
+                       {{"server", id}, {"pool", entry.pool}, {"address", toText(entry.address)}});
         }
         for (const auto &id : changes.leaving) {
             onLeaving(id, "published");
         }
+        for (const auto &id : changes.unlisted) {
+            onLeaving(id, "unlisted");
+        }
         for (const auto &id : changes.gone) {
             m_sink.log(log_event::server_gone, {}, {{"server", id}});
-            moveRunsOf(id);
+            m_mover.onServerGone(id);
         }
         placeWaiting();
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
-        if (m_directory.onReport(id, std::move(report), m_clock.now())) {
+        const auto news = m_directory.onReport(id, std::move(report), m_clock.now());
+        const auto *view = m_directory.find(id);
+        if (view && view->leaving()) {
+            planEvacuation(*view);
+        }
+        if (news) {
             onLeaving(id, "reported");
+        } else if (view && view->leaving()) {
+            moveRunsOf(id);
         }
         placeWaiting();
     }
@@ -182,10 +194,13 @@
         }
         const auto usable = m_directory.usableFor(request.pool->name, m_clock.now());
         const auto held = request.promptTokens() + request.producedTokens();
-        const placement_ask ask{.dataCentre = m_options.dataCentre,
+        const auto *source = moving ? m_directory.find(request.run.serverId) : nullptr;
+        const placement_ask ask{.dataCentre
+                                = source ? source->entry.dataCentre : m_options.dataCentre,
                                 .pool = request.pool,
                                 .avoided = &avoided,
                                 .generation = request.generation(),
+                                .moving = moving,
                                 .urgency = request.urgency,
                                 .tokensNow = held,
                                 .tokensExpected = moving ? held : expectedTokens(request),
@@ -445,8 +460,8 @@
                                            .headers = std::move(begun.head.headers)});
         }
         const auto *view = m_directory.find(request->run.serverId);
-        if (!view || view->leaving) {
-            m_mover.begin(*request);
+        if (!view || view->leaving()) {
+            m_mover.consider(*request);
         }
     }
     auto on(stream_advanced &&advanced) -> void
@@ -465,10 +480,21 @@
             bytes += event.bytes;
         }
         if (!bytes.empty()) {
+            notePause(*request);
             toCaller(*request,
                      give_events{.callerId = request->callerId, .bytes = std::move(bytes)});
         }
     }
+    auto notePause(request_state &request) -> void
+    {
+        const auto now = m_clock.now();
+        if (request.firstEventUs == 0) {
+            request.firstEventUs = now - request.openedAt;
+        } else {
+            request.longestPauseUs = std::max(request.longestPauseUs, now - request.lastEventAt);
+        }
+        request.lastEventAt = now;
+    }
     auto on(const stream_completed &completed) -> void
     {
         auto *request = runOf(completed.exchangeId);
@@ -481,6 +507,9 @@
         log(log_event::request_answered, *request,
             {{"server", request->run.serverId},
              {"events", static_cast<std::int64_t>(request->eventsGiven)},
+             {"first_event_ms", request->firstEventUs / US_PER_MS},
+             {"longest_pause_ms", request->longestPauseUs / US_PER_MS},
+             {"moves", static_cast<std::int64_t>(request->moves)},
              {"took_ms", (m_clock.now() - request->openedAt) / US_PER_MS}});
         toCaller(*request, give_end{.callerId = request->callerId});
         close(*request);
@@ -598,10 +627,23 @@
 
     auto onLeaving(const std::string &id, std::string_view source) -> void
     {
+        const auto *view = m_directory.find(id);
+        const auto leavesMs
+            = view && view->goneAt ? (*view->goneAt - m_clock.now()) / US_PER_MS : std::int64_t{-1};
         m_sink.log(log_event::server_leaving, {},
-                   {{"server", id}, {"source", std::string(source)}});
+                   {{"server", id}, {"source", std::string(source)}, {"gone_in_ms", leavesMs}});
         moveRunsOf(id);
     }
+    auto planEvacuation(const server_view &source) -> void
+    {
+        const auto *pool = m_table ? m_table->findPool(source.entry.pool) : nullptr;
+        if (!pool || !pool->engine || !pool->engine->moves) {
+            return;
+        }
+        constexpr double BITS_PER_BYTE = 8.0;
+        const auto bits = static_cast<double>(pool->engine->bytesPerToken) * BITS_PER_BYTE;
+        m_mover.onReport(source, bits / pool->engine->linkMbps);
+    }
     auto moveRunsOf(const std::string &id) -> void
     {
         std::vector<request_state *> affected;
@@ -611,7 +653,7 @@
             }
         }
         for (auto *request : affected) {
-            m_mover.begin(*request);
+            m_mover.consider(*request);
         }
     }
     auto noteHead(request_state &request, const answer_head &head) -> void
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -60,6 +60,7 @@
     auto handle(forward_event &&event) -> void;
     auto handle(server_event &&event) -> void;
     auto handle(directory_event &&event) -> void;
+    auto handle(server_reported &&event) -> void;
 
 private:
     struct impl;
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -22,7 +22,7 @@
     std::string serverId;
     server_report report;
 };
-using directory_event = std::variant<table_changed, servers_changed, server_reported>;
+using directory_event = std::variant<table_changed, servers_changed>;
 
 /// Rings that join the duties of an entry that forwards requests itself.
 struct forward_rings
@@ -35,6 +35,8 @@
     ring<server_event> fromServers{CAPACITY};
     ring<server_command> toServers{CAPACITY};
     ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
+    ring<servers_changed> directoryToReports{DIRECTORY_CAPACITY};
+    ring<server_reported> fromReports{CAPACITY};
 };
 
 } // namespace marjoram
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -28,6 +28,7 @@
         , callerEvents(worker.context(), rings.fromCallers, outer)
         , serverEvents(worker.context(), rings.fromServers, outer)
         , directoryEvents(worker.context(), rings.fromDirectory, outer)
+        , reports(worker.context(), rings.fromReports, outer)
         , timer(worker.context())
         , directory({})
         , core(std::move(options), clock, systemSeed(), directory, *this)
@@ -85,10 +86,6 @@
                     static_cast<std::int64_t>(changed.servers.size()));
         core.onServers(changed.servers);
     }
-    auto on(server_reported &&reported) -> void
-    {
-        core.onReport(reported.serverId, std::move(reported.report));
-    }
     auto drain() -> void
     {
         core.drain();
@@ -131,6 +128,7 @@
     ring_reader<forward_event, forwarding_duty> callerEvents;
     ring_reader<server_event, forwarding_duty> serverEvents;
     ring_reader<directory_event, forwarding_duty> directoryEvents;
+    ring_reader<server_reported, forwarding_duty> reports;
     boost::asio::steady_timer timer;
     std::optional<time_us> armed;
     server_directory directory;
@@ -152,6 +150,7 @@
     m_impl->callerEvents.start();
     m_impl->serverEvents.start();
     m_impl->directoryEvents.start();
+    m_impl->reports.start();
     m_impl->worker.start();
 }
 
@@ -189,4 +188,10 @@
     m_impl->settle();
 }
 
+auto forwarding_duty::handle(server_reported &&event) -> void
+{
+    m_impl->core.onReport(event.serverId, std::move(event.report));
+    m_impl->settle();
+}
+
 } // namespace marjoram
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -19,6 +19,8 @@
     const std::vector<std::string> *avoided = nullptr;
     /// Whether it is a generation, which needs memory.
     bool generation = false;
+    /// Whether it runs elsewhere and moves; a copy between data centres takes twice the time.
+    bool moving = false;
     std::uint32_t urgency = 0;
     /// Memory it needs at the start, and is expected to need at the end.
     std::uint64_t tokensNow = 0;
@@ -101,6 +103,7 @@
     static constexpr double USABLE_MEMORY = 0.92;
     /// A remote server is chosen when it is this much emptier.
     static constexpr double REMOTE_PENALTY = 0.03;
+    static constexpr double REMOTE_PENALTY_MOVING = 0.3;
     static constexpr double COLD_PENALTY = 0.5;
     /// Width of the draw between servers that look alike.
     static constexpr double JITTER = 0.04;
@@ -112,7 +115,8 @@
     }
     static auto scoreOf(const placement_ask &ask, const server_view &view) -> double
     {
-        auto score = view.entry.dataCentre == ask.dataCentre ? 0.0 : REMOTE_PENALTY;
+        const auto penalty = ask.moving ? REMOTE_PENALTY_MOVING : REMOTE_PENALTY;
+        auto score = view.entry.dataCentre == ask.dataCentre ? 0.0 : penalty;
         score += view.coldUntil > ask.now ? COLD_PENALTY : 0.0;
         const auto slots = std::max<std::uint32_t>(1, view.entry.slots);
         const auto bySlots = static_cast<double>(occupancy(view)) / slots;
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -49,7 +49,8 @@
     /// The source has ended its stream.
     bool sourceEnded = false;
     time_us startedAt;
-    /// When the run is stopped and the rest is copied.
+    time_us copiedAt;
+    /// When the run was stopped and the rest ordered.
     time_us stopAt;
 };
 
@@ -86,6 +87,8 @@
     request_phase phase = request_phase::waiting;
     request_run run;
     std::optional<run_move> move;
+    /// Since when it waits for a plan of its leaving server.
+    std::optional<time_us> unplannedSince;
     /// Sends that may have begun to run.
     std::uint32_t attempts = 0;
     std::uint32_t sends = 0;
@@ -96,6 +99,11 @@
     bool streamGiven = false;
     std::uint64_t lastEvent = 0;
     std::uint64_t eventsGiven = 0;
+    std::uint32_t moves = 0;
+    time_us lastEventAt;
+    /// Longest time between two events, and from opening to the first.
+    std::int64_t longestPauseUs = 0;
+    std::int64_t firstEventUs = 0;
 
     auto generation() const -> bool { return route->kind == work_kind::generation; }
     auto engine() const -> const engine_traits *
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/evacuationplan.h"
 #include "forwarding/placement.h"
 #include "forwarding/requeststate.h"
 #include "framework/eventlog/eventlog.h"
@@ -17,12 +18,9 @@
     std::size_t targets = 3;
     /// Pause before a copy is ordered again where one was under way.
     std::int64_t againUs = 40 * US_PER_MS;
-    /// Time left for the last pass and the start at the target, before a server is gone.
-    std::int64_t reserveUs = 250 * US_PER_MS;
-    /// Longest time for the copies of all runs on a server to pass its link.
-    std::int64_t longestBulkUs = 1'500 * US_PER_MS;
-    /// Notice that is assumed where a server does not say when it will be gone.
-    std::int64_t assumedNoticeUs = 1'500 * US_PER_MS;
+    evacuation_options evacuation;
+    /// Time for the first report of what runs on a leaving server.
+    std::int64_t planUs = 120 * US_PER_MS;
     /// Time for a source to end its stream after its run was stopped.
     std::int64_t sourceEndUs = 30 * US_PER_MS;
 };
@@ -44,10 +42,9 @@
         } -> std::same_as<const server_view *>;
 };
 
-/// Moves running generations off a leaving server: copies their memory while they run, then stops
-/// each, copies the rest, and lets it go on at the target within the same answer. The rest is
-/// copied only once the copies of all runs on the server should have passed its link, since a
-/// stopped run would otherwise wait behind them. Not thread safe: belongs to one duty.
+/// Moves running generations off a leaving server, one after the other: copies a run's memory while
+/// it runs, then stops it, copies the rest, and lets it go on at the target within the same answer.
+/// Not thread safe: belongs to one duty.
 template <clock_source Clock, typename Host>
 class run_mover
 {
@@ -60,35 +57,33 @@
         , m_host(host)
     { }
 
-    /// Begins to move a run, unless it is being moved or cannot be.
-    auto begin(request_state &request) -> void
+    /// A leaving server has told what runs on it.
+    auto onReport(const server_view &source, double usPerToken) -> void
+    {
+        const auto since = m_clock.now() + -source.report->leavingForMs * US_PER_MS;
+        const auto plan
+            = m_plans.try_emplace(source.entry.id, m_options.evacuation, usPerToken, since).first;
+        plan->second.note(source.report->runs);
+    }
+    auto onServerGone(const std::string &id) -> void { m_plans.erase(id); }
+    /// Moves a run off its leaving server when it is its turn, unless it is being moved or cannot
+    /// be.
+    auto consider(request_state &request) -> void
     {
         const auto *engine = request.engine();
         if (request.move || !engine || !engine->moves
             || request.phase != request_phase::streaming) {
             return;
         }
-        const auto *target = request.fullTargets.size() < m_options.targets
-                                 ? m_host.roomFor(request, true)
-                                 : nullptr;
-        if (!target) {
-            m_host.log(
-                log_event::request_moving, request,
-                {{"outcome", std::string("no_room_elsewhere")}, {"server", request.run.serverId}});
+        const auto now = m_clock.now();
+        const auto plan = m_plans.find(request.run.serverId);
+        const auto start = plan == m_plans.end() ? startUnplanned(request)
+                                                 : plan->second.startOf(request.request->requestId);
+        if (start && *start > now) {
+            m_timers.set(request.number, *start);
             return;
         }
-        const auto now = m_clock.now();
-        run_move move{.targetId = target->entry.id,
-                      .target = target->entry.address,
-                      .tokens = request.promptTokens() + request.producedTokens(),
-                      .startedAt = now};
-        m_directory.noteSent(move.targetId, move.tokens);
-        request.move = std::move(move);
-        m_host.log(log_event::request_moving, request,
-                   {{"server", request.run.serverId},
-                    {"target", request.move->targetId},
-                    {"events", static_cast<std::int64_t>(request.lastEvent)}});
-        order(request, false);
+        begin(request);
     }
     /// The source of a moving run has ended its stream; false when the run is not being moved or
     /// the move has nothing to go on from.
@@ -132,6 +127,7 @@
         auto &move = *request.move;
         m_timers.cancel(request.number);
         m_requestOf.erase(move.copyId);
+        noteLeft(request);
         m_directory.noteEnded(move.targetId, move.tokens);
         if (!move.handle.empty()) {
             m_host.toServer(drop_copy{{.source = request.run.server, .handle = move.handle}});
@@ -146,11 +142,62 @@
             auto *request = m_host.findRequest(*number);
             if (request && request->move) {
                 onDue(*request);
+            } else if (request) {
+                consider(*request);
             }
         }
     }
 
 private:
+    auto begin(request_state &request) -> void
+    {
+        const auto *target = request.fullTargets.size() < m_options.targets
+                                 ? m_host.roomFor(request, true)
+                                 : nullptr;
+        if (!target) {
+            m_host.log(
+                log_event::request_moving, request,
+                {{"outcome", std::string("no_room_elsewhere")}, {"server", request.run.serverId}});
+            return;
+        }
+        run_move move{.targetId = target->entry.id,
+                      .target = target->entry.address,
+                      .tokens = request.promptTokens() + request.producedTokens(),
+                      .startedAt = m_clock.now()};
+        m_directory.noteSent(move.targetId, move.tokens);
+        request.move = std::move(move);
+        m_host.log(log_event::request_moving, request,
+                   {{"server", request.run.serverId},
+                    {"target", request.move->targetId},
+                    {"planned", std::int64_t{m_plans.contains(request.run.serverId)}},
+                    {"runs_there", runsAt(request)},
+                    {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        order(request, false);
+    }
+    auto runsAt(const request_state &request) const -> std::int64_t
+    {
+        const auto *view = m_directory.find(request.run.serverId);
+        return view && view->report ? static_cast<std::int64_t>(view->report->runs.size()) : -1;
+    }
+    /// A server that reports is given the time to say what runs on it.
+    auto startUnplanned(request_state &request) const -> std::optional<time_us>
+    {
+        const auto *source = m_directory.find(request.run.serverId);
+        if (!source || !source->report) {
+            return std::nullopt;
+        }
+        if (!request.unplannedSince) {
+            request.unplannedSince = m_clock.now();
+        }
+        return *request.unplannedSince + m_options.planUs;
+    }
+    auto noteLeft(const request_state &request) -> void
+    {
+        const auto plan = m_plans.find(request.run.serverId);
+        if (plan != m_plans.end()) {
+            plan->second.left(request.request->requestId);
+        }
+    }
     auto order(request_state &request, bool stop) -> void
     {
         auto &move = *request.move;
@@ -185,8 +232,9 @@
         switch (done.outcome) {
         case copy_outcome::copied:
             move.handle = done.handle;
-            move.stage = move_stage::copied;
-            m_timers.set(request.number, stopTime(request));
+            move.copiedAt = m_clock.now();
+            move.stopAt = move.copiedAt;
+            order(request, true);
             break;
         case copy_outcome::already_copying:
             m_timers.set(request.number, m_clock.now() + m_options.againUs);
@@ -198,7 +246,7 @@
         case copy_outcome::failed:
             request.fullTargets.push_back(move.targetId);
             abandon(request);
-            begin(request);
+            consider(request);
             break;
         }
     }
@@ -257,36 +305,21 @@
                    {{"server", request.run.serverId},
                     {"target", targetId},
                     {"events", static_cast<std::int64_t>(request.lastEvent)},
+                    {"bulk_ms", (request.move->copiedAt - request.move->startedAt) / US_PER_MS},
+                    {"stopped_ms", (m_clock.now() - request.move->stopAt) / US_PER_MS},
                     {"took_ms", (m_clock.now() - request.move->startedAt) / US_PER_MS}});
         request.move.reset();
+        request.unplannedSince.reset();
+        noteLeft(request);
+        ++request.moves;
         m_host.goOnAt(request, targetId, copy);
     }
-    /// When the copies of all runs on the source should have passed its link.
-    auto stopTime(const request_state &request) const -> time_us
-    {
-        const auto &move = *request.move;
-        const auto now = m_clock.now();
-        const auto *source = m_directory.find(request.run.serverId);
-        if (!source || !source->report) {
-            return now;
-        }
-        std::uint64_t tokens = 0;
-        for (const auto &run : source->report->runs) {
-            tokens += run.memoryTokens;
-        }
-        const auto *engine = request.engine();
-        const auto bits = static_cast<double>(tokens * engine->bytesPerToken) * 8.0;
-        const auto bulkUs
-            = std::min(static_cast<std::int64_t>(bits / engine->linkMbps), m_options.longestBulkUs);
-        const auto goneAt = source->goneAt.value_or(move.startedAt + m_options.assumedNoticeUs);
-        return std::max(now, std::min(move.startedAt + bulkUs, goneAt + -m_options.reserveUs));
-    }
-
     run_mover_options m_options;
     Clock m_clock;
     server_directory &m_directory;
     Host &m_host;
     timer_queue<std::uint64_t> m_timers;
+    std::unordered_map<std::string, evacuation_plan> m_plans;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOf;
     std::uint64_t m_lastCopyId = 0;
 };
--- /dev/null
+++ b/src/reporting/internal/reportsduty.cpp
@@ -0,0 +1,176 @@
+#include "reporting/reportsduty.h"
+
+#include "framework/ring/ringends.h"
+#include "reporting/datagramsocket.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+
+namespace marjoram {
+
+namespace {
+
+/// A report older than what the decisions have is worth nothing, so that few need to wait.
+constexpr std::size_t BACKLOG_LIMIT = 4'096;
+
+auto reportOf(const server_report_frame &frame) -> server_report
+{
+    return {.answering = frame.answering,
+            .running = frame.running,
+            .waiting = frame.waiting,
+            .usedTokens = frame.usedTokens,
+            .capacityTokens = frame.capacityTokens,
+            .nextTokens = frame.nextTokens,
+            .state = frame.leaving ? server_state::leaving : server_state::ready,
+            .leavesMs = frame.leavesKnown ? std::optional(frame.leavesMs) : std::nullopt,
+            .bornUnixMs = frame.bornUnixMs,
+            .runs = frame.runs,
+            .leavingForMs = frame.leavingForMs,
+            .listeners = frame.listeners};
+}
+
+} // namespace
+
+struct reports_duty::impl
+{
+    struct reporter_state
+    {
+        std::string serverId;
+        std::int64_t bornUnixMs = 0;
+        endpoint reporter;
+        std::uint64_t sequence = 0;
+        std::uint32_t vain = 0;
+        std::optional<time_us> unlistedAt;
+    };
+
+    impl(reports_options given, forward_rings &rings, metric_set<reports_metric> &numbers,
+         reports_duty &outer)
+        : options(std::move(given))
+        , metrics(numbers)
+        , servers(worker.context(), rings.directoryToReports, outer)
+        , reports(worker.context(), rings.fromReports, BACKLOG_LIMIT)
+        , socket(worker.context(), *this)
+        , timer(worker.context())
+    { }
+
+    auto onServers(const servers_changed &changed) -> void
+    {
+        std::unordered_map<std::string, reporter_state> kept;
+        for (const auto &entry : changed.servers) {
+            const auto address = toText(entry.address);
+            const auto known = reporters.find(address);
+            const auto same = known != reporters.end() && !known->second.unlistedAt
+                              && known->second.serverId == entry.id
+                              && known->second.bornUnixMs == entry.bornUnixMs;
+            auto state = same ? std::move(known->second)
+                              : reporter_state{.serverId = entry.id,
+                                               .bornUnixMs = entry.bornUnixMs,
+                                               .reporter = {.address = entry.address.address,
+                                                            .port = options.reporterPort}};
+            if (!same) {
+                ask(state);
+            }
+            kept.emplace(address, std::move(state));
+        }
+        // A server that was removed from the list may serve on, and report, for a while.
+        const auto now = clock.now();
+        for (auto &[address, state] : reporters) {
+            if (state.serverId.empty() || kept.contains(address)) {
+                continue;
+            }
+            state.unlistedAt = state.unlistedAt.value_or(now);
+            if (now - *state.unlistedAt < options.keepUnlistedUs) {
+                kept.emplace(address, std::move(state));
+            }
+        }
+        reporters = std::move(kept);
+    }
+    auto onDatagram(const endpoint &, frame message) -> void
+    {
+        const auto *report = std::get_if<server_report_frame>(&message);
+        const auto found = report ? reporters.find(report->server) : reporters.end();
+        if (found == reporters.end()) {
+            return;
+        }
+        auto &state = found->second;
+        const auto other = report->bornUnixMs != 0 && state.bornUnixMs != 0
+                           && report->bornUnixMs != state.bornUnixMs;
+        // A reporter that was started anew counts from 1 again.
+        const auto stale = report->sequence <= state.sequence && report->sequence > 1;
+        state.vain = 0;
+        if (other || stale) {
+            metrics.add(reports_metric::reports_stale);
+            return;
+        }
+        state.sequence = report->sequence;
+        metrics.add(reports_metric::reports_heard);
+        reports.push({.serverId = state.serverId, .report = reportOf(*report)});
+    }
+    auto ask(reporter_state &state) -> void
+    {
+        ++state.vain;
+        metrics.add(reports_metric::report_requests);
+        socket.send(state.reporter, report_request_frame{.host = options.host});
+    }
+    auto askAll() -> void
+    {
+        ++round;
+        for (auto &[address, state] : reporters) {
+            if (state.vain < options.vainRequests || round % options.vainRounds == 0) {
+                ask(state);
+            }
+        }
+        timer.expires_after(std::chrono::microseconds(options.requestUs));
+        timer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                askAll();
+            }
+        });
+    }
+
+    reports_options options;
+    system_clock_source clock;
+    metric_set<reports_metric> &metrics;
+    duty worker{"reports"};
+    ring_reader<servers_changed, reports_duty> servers;
+    ring_writer<server_reported> reports;
+    datagram_socket<impl> socket;
+    boost::asio::steady_timer timer;
+    /// By the server's address.
+    std::unordered_map<std::string, reporter_state> reporters;
+    std::uint64_t round = 0;
+};
+
+reports_duty::reports_duty(reports_options options, forward_rings &rings)
+    : m_impl(std::make_unique<impl>(std::move(options), rings, m_metrics, *this))
+{ }
+
+reports_duty::~reports_duty()
+{
+    stop();
+}
+
+auto reports_duty::listen() -> std::error_code
+{
+    return m_impl->socket.open(m_impl->options.listen);
+}
+
+auto reports_duty::start() -> void
+{
+    m_impl->servers.start();
+    m_impl->socket.start();
+    boost::asio::post(m_impl->worker.context(), [this] { m_impl->askAll(); });
+    m_impl->worker.start();
+}
+
+auto reports_duty::stop() -> void
+{
+    m_impl->worker.stop();
+}
+
+auto reports_duty::handle(servers_changed &&changed) -> void
+{
+    m_impl->onServers(changed);
+}
+
+} // namespace marjoram
--- /dev/null
+++ b/src/reporting/reportsduty.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "forwarding/forwardrings.h"
+#include "framework/global/clock.h"
+#include "framework/metrics/metricset.h"
+#include "framework/ring/duty.h"
+
+#include <memory>
+
+namespace marjoram {
+
+/// Numbers of the reports that an entry hears.
+enum class reports_metric { reports_heard, reports_stale, report_requests };
+inline constexpr std::array reportsMetricNames{
+    enum_name<reports_metric>{reports_metric::reports_heard, "server_reports_heard"},
+    enum_name<reports_metric>{reports_metric::reports_stale, "server_reports_stale"},
+    enum_name<reports_metric>{reports_metric::report_requests, "server_report_requests"},
+};
+constexpr auto namesOf(reports_metric) -> const auto &
+{
+    return reportsMetricNames;
+}
+
+/// Options of hearing reports.
+struct reports_options
+{
+    std::string host;
+    endpoint listen;
+    /// Port at which reporters listen, on the hosts of the backend servers.
+    std::uint16_t reporterPort = 0;
+    /// Time between two requests for reports; a reporter forgets an entry after a few.
+    std::int64_t requestUs = 1 * US_PER_SECOND;
+    /// Requests without a report after which a server counts as having no reporter.
+    std::uint32_t vainRequests = 5;
+    /// A server without a reporter is asked again after so many rounds.
+    std::uint32_t vainRounds = 10;
+    /// Time for which a server is asked that is no longer listed.
+    std::int64_t keepUnlistedUs = 6 * US_PER_SECOND;
+};
+
+/// Duty that asks the reporters beside backend servers for reports and hands these on.
+class reports_duty
+{
+public:
+    /// Precondition: rings outlive the duty.
+    reports_duty(reports_options options, forward_rings &rings);
+    ~reports_duty();
+
+    /// Opens the socket. Errors: those of the socket calls. Call before start().
+    auto listen() -> std::error_code;
+    auto start() -> void;
+    auto stop() -> void;
+    /// Thread safe.
+    auto metrics() const -> const metric_set<reports_metric> & { return m_metrics; }
+
+    // --- called by the ring reader on the duty's thread
+
+    auto handle(servers_changed &&changed) -> void;
+
+private:
+    struct impl;
+
+    metric_set<reports_metric> m_metrics;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace marjoram
--- a/src/servers/internal/serverdirectory.cpp
+++ b/src/servers/internal/serverdirectory.cpp
@@ -12,6 +12,11 @@
     return {.entry = entry, .coldUntil = now + entry.coldLeftMs * US_PER_MS};
 }
 
+auto sameProcess(const server_entry &known, const server_entry &entry) -> bool
+{
+    return known.bornUnixMs == entry.bornUnixMs && known.address == entry.address;
+}
+
 } // namespace
 
 auto server_directory::onServers(const std::vector<server_entry> &entries, time_us now)
@@ -21,21 +26,30 @@
     std::map<std::string, server_view, std::less<>> kept;
     for (const auto &entry : entries) {
         auto node = m_views.extract(entry.id);
-        const auto known = !node.empty() && node.mapped().entry.bornUnixMs == entry.bornUnixMs
-                           && node.mapped().entry.address == entry.address;
+        const auto known = !node.empty() && sameProcess(node.mapped().entry, entry);
         auto view = known ? std::move(node.mapped()) : freshView(entry, now);
+        const auto wasLeaving = view.leaving();
         view.entry = entry;
+        view.unlistedAt.reset();
+        view.publishedLeaving = entry.state == server_state::leaving;
         if (!known) {
             out.joined.push_back(entry.id);
         }
-        if (entry.state == server_state::leaving && !view.leaving) {
-            view.leaving = true;
+        if (view.leaving() && !wasLeaving) {
             out.leaving.push_back(entry.id);
         }
         kept.emplace(entry.id, std::move(view));
     }
-    for (const auto &[id, view] : m_views) {
-        out.gone.push_back(id);
+    for (auto &[id, view] : m_views) {
+        if (!view.unlistedAt) {
+            view.unlistedAt = now;
+            out.unlisted.push_back(id);
+        }
+        if (view.inFlight > 0 || now - *view.unlistedAt < m_options.keepUnlistedUs) {
+            kept.emplace(id, std::move(view));
+        } else {
+            out.gone.push_back(id);
+        }
     }
     m_views = std::move(kept);
     return out;
@@ -48,8 +62,8 @@
         return false;
     }
     const auto leaves = report.state == server_state::leaving || report.leavesMs.has_value();
-    const auto news = leaves && !view->leaving;
-    view->leaving = view->leaving || leaves;
+    const auto news = leaves && !view->leaving();
+    view->reportedLeaving = leaves;
     if (report.leavesMs) {
         view->goneAt = now + *report.leavesMs * US_PER_MS;
     }
@@ -71,12 +85,6 @@
     }
 }
 
-auto server_directory::noteLeaving(const std::string &id) -> bool
-{
-    auto *view = at(id);
-    return view && !std::exchange(view->leaving, true);
-}
-
 auto server_directory::noteSent(const std::string &id, std::uint64_t tokens) -> void
 {
     if (auto *view = at(id)) {
@@ -139,7 +147,7 @@
     std::vector<const server_view *> all;
     std::vector<const server_view *> healthy;
     for (const auto &[id, view] : m_views) {
-        if (view.entry.pool != pool || view.leaving) {
+        if (view.entry.pool != pool || view.leaving()) {
             continue;
         }
         all.push_back(&view);
@@ -168,7 +176,7 @@
     std::size_t ejected = 1;
     std::size_t all = 0;
     for (const auto &[id, other] : m_views) {
-        if (other.entry.pool != view.entry.pool || other.leaving) {
+        if (other.entry.pool != view.entry.pool || other.leaving()) {
             continue;
         }
         ++all;
--- a/src/servers/serverdirectory.h
+++ b/src/servers/serverdirectory.h
@@ -23,6 +23,8 @@
     std::int64_t longestEjectionUs = 8 * US_PER_SECOND;
     /// Largest share of a pool that may be ejected at once.
     double mostEjectedShare = 0.34;
+    /// Time for which a server is remembered that is no longer listed.
+    std::int64_t keepUnlistedUs = 6 * US_PER_SECOND;
 };
 
 /// How a published list differs from the one before it.
@@ -30,6 +32,9 @@
 {
     std::vector<std::string> joined;
     std::vector<std::string> leaving;
+    /// Removed from the list; they may serve on for a while what they have.
+    std::vector<std::string> unlisted;
+    /// Forgotten.
     std::vector<std::string> gone;
 };
 
@@ -49,8 +54,6 @@
     /// Takes a server's own account; true when it tells for the first time that it leaves.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
     auto onLoad(const std::string &id, const load_note &load, time_us now) -> void;
-    /// Marks a server as leaving on other evidence; true when it was not known to leave.
-    auto noteLeaving(const std::string &id) -> bool;
     auto noteSent(const std::string &id, std::uint64_t tokens) -> void;
     auto noteEnded(const std::string &id, std::uint64_t tokens) -> void;
     auto noteSuccess(const std::string &id) -> void;
--- a/src/servers/serverentry.h
+++ b/src/servers/serverentry.h
@@ -46,7 +46,6 @@
     std::string requestId;
     std::uint64_t memoryTokens = 0;
     std::uint64_t events = 0;
-    std::uint32_t urgency = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -54,13 +53,14 @@
         visit(self.requestId);
         visit(self.memoryTokens);
         visit(self.events);
-        visit(self.urgency);
     }
 };
 
 /// An engine's own account of itself.
 struct server_report
 {
+    /// Whether the engine answers the process beside it.
+    bool answering = true;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     /// Memory that running generations and reservations hold.
@@ -72,7 +72,12 @@
     /// Time until the engine is taken away, when it is known.
     std::optional<std::int64_t> leavesMs;
     std::int64_t bornUnixMs = 0;
+    /// Running generations; told only while the engine is leaving.
     std::vector<server_run> runs;
+    /// Time since it was first seen to leave.
+    std::int64_t leavingForMs = 0;
+    /// Entries that hear these reports.
+    std::uint32_t listeners = 0;
 };
 
 /// Load that comes along with an answer.
--- a/src/servers/serverview.h
+++ b/src/servers/serverview.h
@@ -14,9 +14,12 @@
     server_entry entry;
     /// End of the time for which the server is slow after its start.
     time_us coldUntil;
-    /// Set once it is known to leave, whoever told first.
-    bool leaving = false;
-    /// When it is expected to be gone; only with `leaving`.
+    /// The published entry, or the server itself, says that it leaves.
+    bool publishedLeaving = false;
+    bool reportedLeaving = false;
+    /// When its entry was removed; it may serve on for a while what it has.
+    std::optional<time_us> unlistedAt;
+    /// When it is expected to be gone; only while leaving().
     std::optional<time_us> goneAt;
 
     // --- load
@@ -39,6 +42,12 @@
     std::uint32_t failuresInRow = 0;
     std::uint32_t ejections = 0;
     time_us ejectedUntil;
+
+    /// Whether it may get no new work, since it goes.
+    auto leaving() const -> bool
+    {
+        return publishedLeaving || reportedLeaving || unlistedAt.has_value();
+    }
 };
 
 } // namespace marjoram
