--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -61,8 +61,16 @@
     return known;
 }
 
-/// The server with the least of its memory or slots taken; equal ones are drawn at random, so that
-/// processes with the same old view do not all choose alike. An engine without room is not chosen.
+/// Prompts that a server has to read before that of a new request.
+inline auto promptsAhead(const server_view &view) -> std::uint32_t
+{
+    const auto known = view.report ? view.report->starting + view.report->waiting : 0;
+    return known + view.sentSince;
+}
+
+/// The server with the least of its memory or slots taken and the fewest prompts to read; equal
+/// ones are drawn at random, so that processes with the same old view do not all choose alike. An
+/// engine without room is not chosen for new work.
 struct most_room
 {
     static auto choose(const placement_ask &ask, const std::vector<const server_view *> &usable,
@@ -89,26 +97,31 @@
         if (!ask.generation || !ask.pool->engine) {
             return true;
         }
-        const auto &engine = *ask.pool->engine;
-        const auto capacity = view.report && view.report->capacityTokens > 0
-                                  ? view.report->capacityTokens
-                                  : engine.memoryTokens;
-        const auto usable = static_cast<double>(capacity) * USABLE_MEMORY;
-        return occupancy(view) < engine.slots
-               && static_cast<double>(takenTokens(view) + ask.tokensExpected) <= usable;
+        const auto usable = static_cast<double>(capacityOf(ask, view))
+            * (ask.moving ? USABLE_MEMORY_MOVING : USABLE_MEMORY);
+        const auto needed = takenTokens(view) + ask.tokensExpected;
+        return occupancy(view) < ask.pool->engine->slots && static_cast<double>(needed) <= usable;
     }
 
 private:
-    /// Memory beyond this share is left to the growth of what runs.
+    /// Memory beyond this share is left to the growth of what runs, and to what moves here.
     static constexpr double USABLE_MEMORY = 0.92;
+    /// A run that must move is worth more than room for growth; the engine refuses if it is full.
+    static constexpr double USABLE_MEMORY_MOVING = 1.0;
     /// A remote server is chosen when it is this much emptier.
     static constexpr double REMOTE_PENALTY = 0.03;
     static constexpr double REMOTE_PENALTY_MOVING = 0.3;
     static constexpr double COLD_PENALTY = 0.5;
     /// Width of the draw between servers that look alike.
     static constexpr double JITTER = 0.04;
-    static constexpr double PER_WAITING = 0.10;
+    /// A prompt to be read first delays about as much as this share of memory is worth.
+    static constexpr double PER_PROMPT_AHEAD = 0.15;
 
+    static auto capacityOf(const placement_ask &ask, const server_view &view) -> std::uint64_t
+    {
+        const auto reported = view.report ? view.report->capacityTokens : 0;
+        return std::max<std::uint64_t>(1, reported > 0 ? reported : ask.pool->engine->memoryTokens);
+    }
     static auto jitter(random_source &random) -> double
     {
         return JITTER * static_cast<double>(random() >> 11) * 0x1.0p-53;
@@ -123,11 +136,10 @@
         if (!ask.generation || !ask.pool->engine) {
             return score + bySlots;
         }
-        const auto capacity = std::max<std::uint64_t>(1, ask.pool->engine->memoryTokens);
-        const auto waiting = view.report ? view.report->waiting + view.sentSince : view.sentSince;
         const auto byMemory
-            = static_cast<double>(takenTokens(view)) / static_cast<double>(capacity);
-        return score + std::max(byMemory, bySlots) + PER_WAITING * waiting;
+            = static_cast<double>(takenTokens(view)) / static_cast<double>(capacityOf(ask, view));
+        const auto ahead = ask.moving ? 0 : promptsAhead(view);
+        return score + std::max(byMemory, bySlots) + PER_PROMPT_AHEAD * ahead;
     }
 };
 
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -96,6 +96,7 @@
     std::vector<std::string> avoided;
     /// Targets that had no room for a copy.
     std::vector<std::string> fullTargets;
+    bool noRoomTold = false;
     bool streamGiven = false;
     std::uint64_t lastEvent = 0;
     std::uint64_t eventsGiven = 0;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -155,6 +155,9 @@
                                  ? m_host.roomFor(request, true)
                                  : nullptr;
         if (!target) {
+            if (std::exchange(request.noRoomTold, true)) {
+                return;
+            }
             m_host.log(
                 log_event::request_moving, request,
                 {{"outcome", std::string("no_room_elsewhere")}, {"server", request.run.serverId}});
--- a/src/innerprotocol/frames.h
+++ b/src/innerprotocol/frames.h
@@ -427,6 +427,8 @@
     std::int64_t bornUnixMs = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// Of those running, the ones that have made nothing yet.
+    std::uint32_t starting = 0;
     std::uint64_t usedTokens = 0;
     std::uint64_t capacityTokens = 0;
     std::uint64_t nextTokens = 0;
@@ -448,6 +450,7 @@
         visit(self.bornUnixMs);
         visit(self.running);
         visit(self.waiting);
+        visit(self.starting);
         visit(self.usedTokens);
         visit(self.capacityTokens);
         visit(self.nextTokens);
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -18,6 +18,7 @@
     return {.answering = frame.answering,
             .running = frame.running,
             .waiting = frame.waiting,
+            .starting = frame.starting,
             .usedTokens = frame.usedTokens,
             .capacityTokens = frame.capacityTokens,
             .nextTokens = frame.nextTokens,
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -76,6 +76,7 @@
         m_report.bornUnixMs = seen.bornUnixMs;
         m_report.running = seen.running;
         m_report.waiting = seen.waiting;
+        m_report.starting = seen.starting;
         m_report.usedTokens = seen.usedTokens;
         m_report.capacityTokens = seen.capacityTokens;
         m_report.nextTokens = seen.nextTokens;
--- a/src/servers/serverentry.h
+++ b/src/servers/serverentry.h
@@ -63,6 +63,8 @@
     bool answering = true;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// Of those running, the ones that have made nothing yet: their prompts are being read.
+    std::uint32_t starting = 0;
     /// Memory that running generations and reservations hold.
     std::uint64_t usedTokens = 0;
     std::uint64_t capacityTokens = 0;
