--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -47,39 +47,47 @@
 {
     /// Shortest time from the order to the end, for others to notice that it leaves.
     std::chrono::milliseconds least{0};
-    /// Longest time; 0 sets none.
+    /// Longest time until the last call; 0 sets none.
     std::chrono::milliseconds most{0};
+    /// Time from the last call to the end, in which the last bytes leave.
+    std::chrono::milliseconds linger{200};
 };
 
 /// Runs a started process until it is told to stop. The first SIGTERM or SIGINT calls `drain()`
-/// and waits until `drained()`; a second one ends the wait. SIGHUP calls `reload()`. Returns the
-/// exit code.
-template <typename Drain, typename Drained, typename Reload>
-auto runUntilStopped(stop_options options, Drain &&drain, Drained &&drained, Reload &&reload) -> int
+/// and waits until `drained()`; then `lastCall()` ends the taking of requests, and the process
+/// lingers so that answers leave. A second signal ends the wait. SIGHUP calls `reload()`. Returns
+/// the exit code.
+template <typename Drain, typename Drained, typename LastCall, typename Reload>
+auto runUntilStopped(stop_options options, Drain &&drain, Drained &&drained, LastCall &&lastCall,
+                     Reload &&reload) -> int
 {
+    using clock = std::chrono::steady_clock;
     constexpr std::chrono::milliseconds DRAIN_CHECK{50};
-    /// Lets the last frames and bytes leave.
-    constexpr std::chrono::milliseconds LINGER{200};
     boost::asio::io_context context;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     boost::asio::signal_set reloads(context, SIGHUP);
     boost::asio::steady_timer timer(context);
-    std::chrono::steady_clock::time_point toldAt;
+    clock::time_point toldAt;
+    std::optional<clock::time_point> lastCalledAt;
     int exitCode = 0;
+    // Work that was taken just before the last call is waited for as well.
+    const auto ended = [&]() -> bool {
+        const auto now = clock::now();
+        const auto late = options.most.count() > 0 && now - toldAt >= options.most;
+        if (!lastCalledAt && (late || (now - toldAt >= options.least && drained()))) {
+            lastCalledAt = now;
+            lastCall();
+        }
+        return lastCalledAt && now - *lastCalledAt >= options.linger && (late || drained());
+    };
     const auto check = [&](auto &&self) -> void {
         timer.expires_after(DRAIN_CHECK);
         timer.async_wait([&, self](boost::system::error_code error) {
-            if (error) {
-                return;
-            }
-            const auto since = std::chrono::steady_clock::now() - toldAt;
-            const auto overdue = options.most.count() > 0 && since >= options.most;
-            if (!overdue && (since < options.least || !drained())) {
+            if (!error && ended()) {
+                context.stop();
+            } else if (!error) {
                 self(self);
-                return;
             }
-            timer.expires_after(LINGER);
-            timer.async_wait([&](boost::system::error_code) { context.stop(); });
         });
     };
     const auto awaitReload = [&](auto &&self) -> void {
@@ -92,7 +100,7 @@
     };
     awaitReload(awaitReload);
     signals.async_wait([&](boost::system::error_code, int) {
-        toldAt = std::chrono::steady_clock::now();
+        toldAt = clock::now();
         drain();
         check(check);
         signals.async_wait([&](boost::system::error_code, int) {
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -31,6 +31,8 @@
     double hedgeTargets = 2.0;
     /// Share of the output limit that a generation is expected to use without an estimate.
     double assumedOutputShare = 0.5;
+    /// Time of one output token, for whether a generation can end before the process does.
+    std::int64_t usPerToken = 4 * US_PER_MS;
 };
 
 /// Takes the actions of a forwarding_core.
@@ -102,8 +104,8 @@
         }
         placeWaiting();
     }
-    /// Refuses long work from now on, since it would be cut. Idempotent.
-    auto drain() -> void { m_draining = true; }
+    /// Refuses work from now on that would not end before the process does. Idempotent.
+    auto drain(time_us stopAt) -> void { m_stopAt = stopAt; }
     auto drained() const -> bool { return m_requests.empty(); }
     auto open() const -> std::size_t { return m_requests.size(); }
 
@@ -245,11 +247,20 @@
         if (keyed && !m_table->findTeam(asked.key)) {
             return failure::unauthenticated;
         }
-        if (m_draining && route->kind == work_kind::generation) {
+        if (m_stopAt && m_clock.now() + durationUs(*route, asked) > *m_stopAt) {
             return failure::draining;
         }
         return m_requests.size() >= m_options.requestLimit ? failure::overloaded : failure::none;
     }
+    /// Time that a request may well take.
+    auto durationUs(const route_entry &route, const forward_request &asked) const -> std::int64_t
+    {
+        const auto &ask = asked.generation;
+        const auto output = route.kind == work_kind::generation
+                                ? ask.outputEstimate.value_or(ask.mostOutputTokens)
+                                : 0;
+        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
+    }
     auto admit(const forward_request_ptr &asked) -> request_state &
     {
         const auto now = m_clock.now();
@@ -780,7 +791,8 @@
     timer_queue<timer_key> m_timers;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
-    bool m_draining = false;
+    /// When the process ends, once it has been told to.
+    std::optional<time_us> m_stopAt;
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -50,8 +50,11 @@
 
     auto start() -> void;
     auto stop() -> void;
-    /// Refuses long work from now on; `drained` of the process state tells the end. Thread safe.
-    auto drain() -> void;
+    /// Refuses work that would not end within `stopInMs`; `drained` of the process state tells when
+    /// nothing is in flight. Thread safe.
+    auto drain(std::int64_t stopInMs) -> void;
+    /// Takes no request any more. Thread safe.
+    auto stopTaking() -> void;
     /// Thread safe.
     auto metrics() const -> const metric_set<forwarding_metric> & { return m_metrics; }
 
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -121,8 +121,11 @@
 /// Answers close their connections from now on.
 struct close_after_answers
 { };
+/// No connection is taken any more, and those without a request are closed.
+struct stop_taking
+{ };
 using forward_action = std::variant<give_answer, give_stream, give_events, give_end, give_cut,
-                                    give_failure, bound_callers, close_after_answers>;
+                                    give_failure, bound_callers, close_after_answers, stop_taking>;
 
 // --- decisions to backend servers
 
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -86,9 +86,9 @@
                     static_cast<std::int64_t>(changed.servers.size()));
         core.onServers(changed.servers);
     }
-    auto drain() -> void
+    auto drain(std::int64_t stopInMs) -> void
     {
-        core.drain();
+        core.drain(clock.now() + stopInMs * US_PER_MS);
         toCaller(close_after_answers{});
         settle();
     }
@@ -159,9 +159,14 @@
     m_impl->worker.stop();
 }
 
-auto forwarding_duty::drain() -> void
+auto forwarding_duty::drain(std::int64_t stopInMs) -> void
 {
-    boost::asio::post(m_impl->worker.context(), [this] { m_impl->drain(); });
+    boost::asio::post(m_impl->worker.context(), [this, stopInMs] { m_impl->drain(stopInMs); });
+}
+
+auto forwarding_duty::stopTaking() -> void
+{
+    boost::asio::post(m_impl->worker.context(), [this] { m_impl->toCaller(stop_taking{}); });
 }
 
 auto forwarding_duty::handle(forward_event &&event) -> void
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -98,7 +98,7 @@
             return true;
         }
         const auto usable = static_cast<double>(capacityOf(ask, view))
-            * (ask.moving ? USABLE_MEMORY_MOVING : USABLE_MEMORY);
+                            * (ask.moving ? USABLE_MEMORY_MOVING : USABLE_MEMORY);
         const auto needed = takenTokens(view) + ask.tokensExpected;
         return occupancy(view) < ask.pool->engine->slots && static_cast<double>(needed) <= usable;
     }
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -45,6 +45,9 @@
     /// The request being answered.
     auto request() const -> const http_request & { return m_request; }
 
+    /// Whether a request has been read whose answer is not complete.
+    auto answering() const -> bool { return m_answering || m_writing; }
+
     /// Answers the request whole. Precondition: no response has begun.
     auto respond(http_response response) -> void
     {
@@ -63,6 +66,7 @@
         m_response.keep_alive(m_keepAlive);
         m_response.prepare_payload();
         m_stream.expires_after(m_server.limits().writeTimeout);
+        m_writing = true;
         boost::beast::http::async_write(
             m_stream, m_response,
             [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
@@ -176,6 +180,7 @@
     }
     auto onResponseWritten(boost::beast::error_code error) -> void
     {
+        m_writing = false;
         if (error || !m_keepAlive) {
             boost::beast::error_code ignored;
             m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
@@ -359,6 +364,20 @@
     /// From now on each answer closes its connection.
     auto closeAfterAnswers() -> void { m_closing = true; }
     auto closing() const -> bool { return m_closing; }
+    /// Closes the connections on which no request is being answered.
+    auto closeIdle() -> void
+    {
+        std::vector<session_ptr> idle;
+        for (const auto &[id, weak] : m_sessions) {
+            auto session = weak.lock();
+            if (session && !session->answering()) {
+                idle.push_back(std::move(session));
+            }
+        }
+        for (const auto &session : idle) {
+            session->close();
+        }
+    }
 
     auto app() -> App & { return m_app; }
     auto limits() const -> const http_limits & { return m_limits; }
--- a/src/gateway/gatewayduty.h
+++ b/src/gateway/gatewayduty.h
@@ -138,6 +138,11 @@
              .idleTimeout = std::chrono::milliseconds(changed.bounds.idleTimeoutMs)});
     }
     auto on(const close_after_answers &) -> void { m_server.closeAfterAnswers(); }
+    auto on(const stop_taking &) -> void
+    {
+        m_server.stopListening();
+        m_server.closeIdle();
+    }
 
     endpoint m_listen;
     duty m_worker{"gateway"};
