--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -92,6 +92,7 @@
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
+        m_entries = std::max<std::uint32_t>(1, report.listeners);
         const auto news = m_directory.onReport(id, std::move(report), m_clock.now());
         const auto *view = m_directory.find(id);
         if (view && view->leaving()) {
@@ -206,6 +207,7 @@
                                 .urgency = request.urgency,
                                 .tokensNow = held,
                                 .tokensExpected = moving ? held : expectedTokens(request),
+                                .entries = m_entries,
                                 .now = m_clock.now()};
         return Placement::choose(ask, usable, m_random);
     }
@@ -789,6 +791,8 @@
     std::list<std::uint64_t> m_waiting;
     std::map<std::string, retry_window> m_retries;
     timer_queue<timer_key> m_timers;
+    /// Entries that hear the same reports, as the last one told.
+    std::uint32_t m_entries = 1;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
     /// When the process ends, once it has been told to.
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -25,6 +25,8 @@
     /// Memory it needs at the start, and is expected to need at the end.
     std::uint64_t tokensNow = 0;
     std::uint64_t tokensExpected = 0;
+    /// Entries that choose by the same reports.
+    std::uint32_t entries = 1;
     time_us now;
 };
 
@@ -68,22 +70,28 @@
     return known + view.sentSince;
 }
 
-/// The server with the least of its memory or slots taken and the fewest prompts to read; equal
-/// ones are drawn at random, so that processes with the same old view do not all choose alike. An
-/// engine without room is not chosen for new work.
+/// Of a random sample, the server with the least of its memory or slots taken and the fewest prompts
+/// to read. An engine without room is not chosen for new work.
 struct most_room
 {
     static auto choose(const placement_ask &ask, const std::vector<const server_view *> &usable,
                        random_source &random) -> const server_view *
     {
-        const server_view *best = nullptr;
-        double bestScore = 0.0;
+        std::vector<const server_view *> open;
         for (const auto *view : usable) {
             const auto &avoided = *ask.avoided;
-            if (std::find(avoided.begin(), avoided.end(), view->entry.id) != avoided.end()
-                || !hasRoom(ask, *view)) {
-                continue;
+            if (std::find(avoided.begin(), avoided.end(), view->entry.id) == avoided.end()
+                && hasRoom(ask, *view)) {
+                open.push_back(view);
             }
+        }
+        const server_view *best = nullptr;
+        double bestScore = 0.0;
+        for (std::size_t left = sampleSize(ask, open.size()); left > 0; --left) {
+            // Moves the drawn one to the end, so that none is drawn twice.
+            const auto drawn = random() % open.size();
+            const auto *view = std::exchange(open[drawn], open.back());
+            open.pop_back();
             const auto score = scoreOf(ask, *view) + jitter(random);
             if (!best || score < bestScore) {
                 best = view;
@@ -104,6 +112,9 @@
     }
 
 private:
+    /// Servers that one choice looks at, for each server that an entry would have to itself.
+    static constexpr std::size_t SAMPLE_PER_SHARE = 2;
+    static constexpr std::size_t LEAST_SAMPLE = 2;
     /// Memory beyond this share is left to the growth of what runs, and to what moves here.
     static constexpr double USABLE_MEMORY = 0.92;
     /// A run that must move is worth more than room for growth; the engine refuses if it is full.
@@ -117,6 +128,14 @@
     /// A prompt to be read first delays about as much as this share of memory is worth.
     static constexpr double PER_PROMPT_AHEAD = 0.15;
 
+    /// The more entries choose by the same reports, the fewer servers each looks at: otherwise all
+    /// would choose the same until the next report.
+    static auto sampleSize(const placement_ask &ask, std::size_t open) -> std::size_t
+    {
+        const auto entries = std::max<std::size_t>(1, ask.entries);
+        const auto share = (SAMPLE_PER_SHARE * open + entries - 1) / entries;
+        return ask.moving ? open : std::min(open, std::max(share, LEAST_SAMPLE));
+    }
     static auto capacityOf(const placement_ask &ask, const server_view &view) -> std::uint64_t
     {
         const auto reported = view.report ? view.report->capacityTokens : 0;
