--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -35,7 +35,7 @@
 };
 
 /// Decides when entries hear of a backend server: at once when it leaves, is lost or is started
-/// anew, otherwise from time to time. A leaving or lost server is told with each look, since
+/// anew, or when the prompts change that it has to read, otherwise from time to time. A leaving or lost server is told with each look, since
 /// datagrams get lost. Not thread safe: belongs to one duty.
 template <clock_source Clock, typename Sink>
 class report_core
@@ -83,7 +83,8 @@
         noteLeaving(seen);
         m_failures = 0;
         m_looked = true;
-        publish(news || m_report.leaving || m_report.leavesKnown);
+        const auto queue = m_report.starting + m_report.waiting;
+        publish(news || m_report.leaving || m_report.leavesKnown || queue != m_queueTold);
     }
     /// Time until the next look.
     auto nextLookUs() const -> std::int64_t
@@ -125,6 +126,7 @@
             return;
         }
         m_sentAt = now;
+        m_queueTold = m_report.starting + m_report.waiting;
         forgetListeners(now);
         const auto report = numbered(now);
         for (const auto &[key, listener] : m_listeners) {
@@ -152,6 +154,8 @@
     std::uint32_t m_failures = 0;
     bool m_looked = false;
     time_us m_leavingSince;
+    /// Prompts to be read at the last report.
+    std::uint32_t m_queueTold = 0;
     time_us m_sentAt{INT64_MIN / 2};
 };
 
