--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -107,7 +107,8 @@
         }
         const auto usable = static_cast<double>(capacityOf(ask, view))
                             * (ask.moving ? USABLE_MEMORY_MOVING : USABLE_MEMORY);
-        const auto needed = takenTokens(view) + ask.tokensExpected;
+        const auto growing = ask.moving ? 0 : occupancy(view) * GROWTH_TOKENS;
+        const auto needed = takenTokens(view) + growing + ask.tokensExpected;
         return occupancy(view) < ask.pool->engine->slots && static_cast<double>(needed) <= usable;
     }
 
@@ -116,7 +117,9 @@
     static constexpr std::size_t SAMPLE_PER_SHARE = 2;
     static constexpr std::size_t LEAST_SAMPLE = 2;
     /// Memory beyond this share is left to the growth of what runs, and to what moves here.
-    static constexpr double USABLE_MEMORY = 0.92;
+    static constexpr double USABLE_MEMORY = 0.95;
+    /// Memory by which each run on an engine is expected to grow while others end.
+    static constexpr std::uint64_t GROWTH_TOKENS = 500;
     /// A run that must move is worth more than room for growth; the engine refuses if it is full.
     static constexpr double USABLE_MEMORY_MOVING = 1.0;
     /// A remote server is chosen when it is this much emptier.
