--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -341,6 +341,8 @@
              {"route", request.route->name},
              {"in_flight", static_cast<std::int64_t>(view ? view->inFlight : 0)},
              {"taken_tokens", static_cast<std::int64_t>(view ? takenTokens(*view) : 0)},
+             {"running", static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
+             {"prompts_ahead", static_cast<std::int64_t>(view ? promptsAhead(*view) : 0)},
              {"report_age_ms", reportAgeMs(view)},
              {"sends", static_cast<std::int64_t>(request.sends)}});
         const auto resumes = copy || request.lastEvent > 0;
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -117,9 +117,9 @@
     static constexpr std::size_t SAMPLE_PER_SHARE = 2;
     static constexpr std::size_t LEAST_SAMPLE = 2;
     /// Memory beyond this share is left to the growth of what runs, and to what moves here.
-    static constexpr double USABLE_MEMORY = 0.95;
+    static constexpr double USABLE_MEMORY = 0.92;
     /// Memory by which each run on an engine is expected to grow while others end.
-    static constexpr std::uint64_t GROWTH_TOKENS = 500;
+    static constexpr std::uint64_t GROWTH_TOKENS = 300;
     /// A run that must move is worth more than room for growth; the engine refuses if it is full.
     static constexpr double USABLE_MEMORY_MOVING = 1.0;
     /// A remote server is chosen when it is this much emptier.
