--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "forwarding/forwardrings.h"
 #include "forwarding/runmover.h"
 #include "limits/lengthestimator.h"
 #include "limits/retrywindow.h"
 
 #include <algorithm>
-#include <list>
 #include <map>
 #include <memory>
 
@@ -20,6 +20,20 @@
     /// Longest wait of a generation for room, as a share of its latency target: beyond an eighth
     /// a caller is better served by coming back.
     double waitShare = 0.12;
+    /// Pause before a waiting request tries again; each is drawn from the range.
+    std::int64_t leastAgainUs = 30 * US_PER_MS;
+    std::int64_t mostAgainUs = 90 * US_PER_MS;
+    /// Reporters that are asked in a row before the request waits.
+    std::uint32_t questions = 4;
+    /// Time for a reporter to answer, and answers missed after which a request is sent unasked.
+    std::int64_t questionUs = 25 * US_PER_MS;
+    std::uint32_t unanswered = 2;
+    /// Silence after which a server counts as having no reporter.
+    std::int64_t reporterUs = 1 * US_PER_SECOND;
+    /// Time to read a prompt between the tokens of others, and the share of a latency target that
+    /// may pass with reading the prompts of others.
+    std::int64_t promptUs = 350 * US_PER_MS;
+    double promptShare = 0.6;
     /// Sends of one request, those included that a server refused to run.
     std::uint32_t mostSends = 3;
     /// Requests open at once.
@@ -43,6 +57,7 @@
 {
     sink.toCaller(action);
     sink.toServer(command);
+    sink.askRoom(ask_room{});
     sink.log(event, id, fields);
 };
 
@@ -88,7 +103,6 @@
             m_sink.log(log_event::server_gone, {}, {{"server", id}});
             m_mover.onServerGone(id);
         }
-        placeWaiting();
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
@@ -103,7 +117,6 @@
         } else if (view && view->leaving()) {
             moveRunsOf(id);
         }
-        placeWaiting();
     }
     /// Refuses work from now on that would not end before the process does. Idempotent.
     auto drain(time_us stopAt) -> void { m_stopAt = stopAt; }
@@ -120,10 +133,7 @@
             refuse(asked.callerId, asked.requestId, refused, retryMs());
             return;
         }
-        auto &request = admit(opened.request);
-        if (!place(request)) {
-            wait(request);
-        }
+        placeOrWait(admit(opened.request));
     }
     auto onCallerLeft(std::uint64_t callerId) -> void
     {
@@ -137,12 +147,31 @@
         log(log_event::caller_left, request, {{"phase", std::string(nameOf(request.phase))}});
         // Work that may not be repeated runs on: cutting it would leave its outcome unknown.
         if (request.route->kind != work_kind::at_most_once
-            || request.phase == request_phase::waiting) {
+            || request.phase == request_phase::waiting
+            || request.phase == request_phase::asking) {
             cancelRun(request);
             close(request);
         }
     }
 
+    /// A reporter has answered; whatever it says of room, its report is the newest there is.
+    auto onRoomReply(room_replied replied) -> void
+    {
+        onReport(replied.serverId, std::move(replied.report));
+        const auto found = m_requestOfAsk.find(replied.askId);
+        auto *request = found == m_requestOfAsk.end() ? nullptr : findRequest(found->second);
+        if (!request) {
+            return;
+        }
+        endQuestion(*request);
+        if (replied.granted) {
+            send(*request, request->question.serverId, request->question.server, std::nullopt);
+            return;
+        }
+        request->question.full.push_back(replied.serverId);
+        placeOrWait(*request);
+    }
+
     // --- backend servers
 
     auto onEvent(server_event event) -> void
@@ -176,6 +205,13 @@
             case timer_kind::hedge:
                 onSlow(*request);
                 break;
+            case timer_kind::question:
+                onUnanswered(*request);
+                break;
+            case timer_kind::again:
+                request->question = {};
+                placeOrWait(*request);
+                break;
             }
         }
     }
@@ -194,6 +230,9 @@
         auto avoided = moving ? request.fullTargets : request.avoided;
         if (moving) {
             avoided.push_back(request.run.serverId);
+        } else {
+            const auto &full = request.question.full;
+            avoided.insert(avoided.end(), full.begin(), full.end());
         }
         const auto usable = m_directory.usableFor(request.pool->name, m_clock.now());
         const auto held = request.promptTokens() + request.producedTokens();
@@ -225,7 +264,7 @@
     }
 
 private:
-    enum class timer_kind { deadline, room, hedge };
+    enum class timer_kind { deadline, room, hedge, question, again };
     struct timer_key
     {
         timer_kind kind;
@@ -310,21 +349,70 @@
 
     // --- placing
 
+    auto placeOrWait(request_state &request) -> void
+    {
+        if (!place(request)) {
+            wait(request);
+        }
+    }
+    /// Sends the request, or asks a reporter for room; false when no server seems to have room.
     auto place(request_state &request) -> bool
     {
-        const auto *view = request.pool ? roomFor(request, false) : nullptr;
+        auto &question = request.question;
+        const auto *view = request.pool && question.count < m_options.questions
+            ? roomFor(request, false)
+            : nullptr;
         if (!view) {
             return false;
         }
-        const std::string id = view->entry.id;
-        send(request, id, view->entry.address, std::nullopt);
+        question.serverId = view->entry.id;
+        question.server = view->entry.address;
+        const auto reports = view->report && m_clock.now() - view->reportAt < m_options.reporterUs;
+        if (!request.generation() || !reports || question.unanswered >= m_options.unanswered) {
+            send(request, std::string(question.serverId), endpoint(question.server), std::nullopt);
+        } else {
+            ask(request);
+        }
         return true;
     }
+    auto ask(request_state &request) -> void
+    {
+        request.phase = request_phase::asking;
+        request.question.askId = ++m_lastAskId;
+        ++request.question.count;
+        m_requestOfAsk.emplace(m_lastAskId, request.number);
+        m_timers.set({timer_kind::question, request.number}, m_clock.now() + m_options.questionUs);
+        m_sink.askRoom({.askId = m_lastAskId,
+                        .serverId = request.question.serverId,
+                        .requestId = request.request->requestId,
+                        .expectedTokens = expectedTokens(request),
+                        .promptsAhead = promptsAllowed(request),
+                        .urgency = request.urgency});
+    }
+    /// Prompts that may be read before this one without missing the latency target.
+    auto promptsAllowed(const request_state &request) const -> std::uint32_t
+    {
+        const auto us = static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+        return static_cast<std::uint32_t>(us * m_options.promptShare
+                                          / static_cast<double>(m_options.promptUs));
+    }
+    auto endQuestion(request_state &request) -> void
+    {
+        m_requestOfAsk.erase(request.question.askId);
+        m_timers.cancel({timer_kind::question, request.number});
+    }
+    auto onUnanswered(request_state &request) -> void
+    {
+        endQuestion(request);
+        ++request.question.unanswered;
+        placeOrWait(request);
+    }
     auto send(request_state &request, const std::string &serverId, const endpoint &server,
               const std::optional<held_copy> &copy) -> void
     {
         const auto now = m_clock.now();
         m_timers.cancel({timer_kind::room, request.number});
+        m_timers.cancel({timer_kind::again, request.number});
         request.phase = request.streamGiven ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
                        .serverId = serverId,
@@ -376,42 +464,36 @@
                                      ask.mostOutputTokens);
         return ask.promptTokens + std::max(output, request.producedTokens());
     }
+    /// Keeps the request until there is room, for a short time; entries try again at random times,
+    /// so that not all of them ask at once when room appears.
     auto wait(request_state &request) -> void
     {
-        const auto us
-            = m_options.waitShare * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
-        request.waitUntil = m_clock.now() + static_cast<std::int64_t>(us);
+        const auto now = m_clock.now();
         request.phase = request_phase::waiting;
-        m_timers.set({timer_kind::room, request.number}, request.waitUntil);
-        const auto behind
-            = std::find_if(m_waiting.begin(), m_waiting.end(), [&](std::uint64_t number) {
-                  const auto *other = findRequest(number);
-                  return other && other->urgency > request.urgency;
-              });
-        m_waiting.insert(behind, request.number);
-        log(log_event::request_waiting, request,
-            {{"route", request.route->name},
-             {"waiting", static_cast<std::int64_t>(m_waiting.size())}});
-    }
-    auto placeWaiting() -> void
-    {
-        for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-            auto *request = findRequest(*it);
-            if (request && !place(*request)) {
-                ++it;
-                continue;
-            }
-            it = m_waiting.erase(it);
+        if (!request.waitUntil) {
+            const auto us = m_options.waitShare
+                * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+            request.waitUntil = now + static_cast<std::int64_t>(us);
+            log(log_event::request_waiting, request,
+                {{"route", request.route->name},
+                 {"questions", static_cast<std::int64_t>(request.question.count)}});
+        }
+        if (now >= *request.waitUntil) {
+            onNoRoom(request);
+            return;
         }
+        m_timers.set({timer_kind::room, request.number}, *request.waitUntil);
+        const auto width = static_cast<std::uint64_t>(m_options.mostAgainUs - m_options.leastAgainUs);
+        m_timers.set({timer_kind::again, request.number},
+                     now + m_options.leastAgainUs + static_cast<std::int64_t>(m_random() % width));
     }
     auto onNoRoom(request_state &request) -> void
     {
-        m_waiting.remove(request.number);
-        failRequest(request,
-                    m_directory.sizeOf(request.pool ? request.pool->name : "") == 0
-                        ? failure::no_backend_server
-                        : failure::overloaded,
-                    run_state::not_run);
+        const auto reason = m_directory.sizeOf(request.pool ? request.pool->name : "") == 0
+            ? failure::no_backend_server
+            : failure::overloaded;
+        failRequest(request, reason,
+                    request.attempts > 0 ? run_state::unknown : run_state::not_run);
     }
 
     // --- answers
@@ -583,9 +665,12 @@
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
         const auto allowed = request.sends < m_options.mostSends
                              && (!arrived || retriesOf(*request.pool).tryTake(m_clock.now()));
-        if (!allowed || !place(request)) {
+        if (!allowed) {
             failRequest(request, failure::overloaded, ran);
+            return;
         }
+        request.question = {};
+        placeOrWait(request);
     }
     auto mayRepeat(const request_state &request) const -> bool
     {
@@ -603,14 +688,17 @@
                 {{"cause", std::string(cause)}, {"outcome", std::string("budget_spent")}});
             return false;
         }
-        return place(request);
+        request.question = {};
+        placeOrWait(request);
+        return true;
     }
 
     // --- time
 
     auto onDeadline(request_state &request) -> void
     {
-        const auto sent = request.phase != request_phase::waiting;
+        const auto sent = request.phase == request_phase::sent
+            || request.phase == request_phase::streaming;
         cancelRun(request);
         failRequest(request, sent ? failure::deadline_exceeded : failure::would_miss_deadline,
                     sent || request.attempts > 0 ? run_state::unknown : run_state::not_run);
@@ -633,9 +721,7 @@
         request.avoided.push_back(request.run.serverId);
         log(log_event::request_retried, request,
             {{"server", request.run.serverId}, {"cause", std::string("slow")}});
-        if (!place(request)) {
-            failRequest(request, failure::backend_server_lost, run_state::unknown);
-        }
+        placeOrWait(request);
     }
 
     // --- servers
@@ -763,7 +849,8 @@
         cancelRun(request);
         m_timers.cancel({timer_kind::deadline, request.number});
         m_timers.cancel({timer_kind::room, request.number});
-        m_waiting.remove(request.number);
+        m_timers.cancel({timer_kind::again, request.number});
+        endQuestion(request);
         const auto caller = m_requestOfCaller.find(request.callerId);
         if (caller != m_requestOfCaller.end() && caller->second == request.number) {
             m_requestOfCaller.erase(caller);
@@ -790,13 +877,14 @@
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfExchange;
-    std::list<std::uint64_t> m_waiting;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfAsk;
     std::map<std::string, retry_window> m_retries;
     timer_queue<timer_key> m_timers;
     /// Entries that hear the same reports, as the last one told.
     std::uint32_t m_entries = 1;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
+    std::uint64_t m_lastAskId = 0;
     /// When the process ends, once it has been told to.
     std::optional<time_us> m_stopAt;
 };
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -18,6 +18,7 @@
     cut,
     sends,
     moves_ordered,
+    room_asked,
     requests_open,
     servers_known,
     table_version,
@@ -30,6 +31,7 @@
     enum_name<forwarding_metric>{forwarding_metric::cut, "streams_cut"},
     enum_name<forwarding_metric>{forwarding_metric::sends, "server_sends"},
     enum_name<forwarding_metric>{forwarding_metric::moves_ordered, "run_copies_ordered"},
+    enum_name<forwarding_metric>{forwarding_metric::room_asked, "room_asked"},
     enum_name<forwarding_metric>{forwarding_metric::requests_open, "forwards_open"},
     enum_name<forwarding_metric>{forwarding_metric::servers_known, "servers_known"},
     enum_name<forwarding_metric>{forwarding_metric::table_version, "route_table_version"},
@@ -63,7 +65,7 @@
     auto handle(forward_event &&event) -> void;
     auto handle(server_event &&event) -> void;
     auto handle(directory_event &&event) -> void;
-    auto handle(server_reported &&event) -> void;
+    auto handle(report_event &&event) -> void;
 
 private:
     struct impl;
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -22,6 +22,16 @@
     std::string serverId;
     server_report report;
 };
+/// A reporter has answered whether there is room at its backend server.
+struct room_replied
+{
+    std::uint64_t askId = 0;
+    bool granted = false;
+    std::string serverId;
+    server_report report;
+};
+using report_event = std::variant<server_reported, room_replied>;
+
 using directory_event = std::variant<table_changed, servers_changed>;
 
 /// Rings that join the duties of an entry that forwards requests itself.
@@ -36,7 +46,8 @@
     ring<server_command> toServers{CAPACITY};
     ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
     ring<servers_changed> directoryToReports{DIRECTORY_CAPACITY};
-    ring<server_reported> fromReports{CAPACITY};
+    ring<report_event> fromReports{CAPACITY};
+    ring<ask_room> toReports{CAPACITY};
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -137,6 +137,17 @@
     std::string handle;
 };
 
+/// Asks the reporter beside a backend server whether a generation may be sent there.
+struct ask_room
+{
+    std::uint64_t askId = 0;
+    std::string serverId;
+    std::string requestId;
+    std::uint64_t expectedTokens = 0;
+    std::uint32_t promptsAhead = 0;
+    std::uint32_t urgency = 0;
+};
+
 /// Sends a request to a backend server.
 struct send_forward
 {
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -29,6 +29,7 @@
         , serverEvents(worker.context(), rings.fromServers, outer)
         , directoryEvents(worker.context(), rings.fromDirectory, outer)
         , reports(worker.context(), rings.fromReports, outer)
+        , roomAsks(worker.context(), rings.toReports, BACKLOG_LIMIT)
         , timer(worker.context())
         , directory({})
         , core(std::move(options), clock, systemSeed(), directory, *this)
@@ -54,6 +55,13 @@
             LOG(ERROR) << "command lost: the servers' duty has fallen behind its backlog limit";
         }
     }
+    auto askRoom(ask_room ask) -> void
+    {
+        metrics.add(forwarding_metric::room_asked);
+        if (roomAsks.push(std::move(ask))) {
+            LOG(ERROR) << "question lost: the reports' duty has fallen behind its backlog limit";
+        }
+    }
     auto log(log_event event, const std::string &id, std::vector<log_field> fields) -> void
     {
         writer.write(event, id, std::move(fields));
@@ -128,7 +136,8 @@
     ring_reader<forward_event, forwarding_duty> callerEvents;
     ring_reader<server_event, forwarding_duty> serverEvents;
     ring_reader<directory_event, forwarding_duty> directoryEvents;
-    ring_reader<server_reported, forwarding_duty> reports;
+    ring_reader<report_event, forwarding_duty> reports;
+    ring_writer<ask_room> roomAsks;
     boost::asio::steady_timer timer;
     std::optional<time_us> armed;
     server_directory directory;
@@ -193,9 +202,13 @@
     m_impl->settle();
 }
 
-auto forwarding_duty::handle(server_reported &&event) -> void
+auto forwarding_duty::handle(report_event &&event) -> void
 {
-    m_impl->core.onReport(event.serverId, std::move(event.report));
+    if (auto *reported = std::get_if<server_reported>(&event)) {
+        m_impl->core.onReport(reported->serverId, std::move(reported->report));
+    } else {
+        m_impl->core.onRoomReply(std::get<room_replied>(std::move(event)));
+    }
     m_impl->settle();
 }
 
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -11,9 +11,10 @@
 namespace marjoram {
 
 /// How far a request has got.
-enum class request_phase { waiting, sent, streaming };
+enum class request_phase { waiting, asking, sent, streaming };
 inline constexpr std::array requestPhaseNames{
     enum_name<request_phase>{request_phase::waiting, "waiting"},
+    enum_name<request_phase>{request_phase::asking, "asking"},
     enum_name<request_phase>{request_phase::sent, "sent"},
     enum_name<request_phase>{request_phase::streaming, "streaming"},
 };
@@ -67,6 +68,19 @@
     time_us sentAt;
 };
 
+/// Question to a reporter whether there is room for a request.
+struct room_question
+{
+    std::uint64_t askId = 0;
+    std::string serverId;
+    endpoint server;
+    /// Questions since the request last waited.
+    std::uint32_t count = 0;
+    std::uint32_t unanswered = 0;
+    /// Servers that had no room.
+    std::vector<std::string> full;
+};
+
 /// A request from when it is read until its answer is complete.
 struct request_state
 {
@@ -82,8 +96,9 @@
     std::uint32_t urgency = 0;
     time_us openedAt;
     time_us deadline;
-    /// End of the wait for room.
-    time_us waitUntil;
+    /// End of the wait for room, once it has begun.
+    std::optional<time_us> waitUntil;
+    room_question question;
     request_phase phase = request_phase::waiting;
     request_run run;
     std::optional<run_move> move;
--- a/src/innerprotocol/frames.h
+++ b/src/innerprotocol/frames.h
@@ -2,7 +2,7 @@
 
 #include "framework/tracing/span.h"
 #include "generations/generationrequest.h"
-#include "servers/serverentry.h"
+#include "innerprotocol/reportframes.h"
 
 #include <string>
 #include <variant>
@@ -400,70 +400,11 @@
     }
 };
 
-/// Entry to reporter: reports are wanted for a while.
-struct report_request_frame
-{
-    std::string host;
-
-    template <typename Self, typename Visitor>
-    static auto visitFields(Self &self, Visitor &&visit) -> void
-    {
-        visit(self.host);
-    }
-};
-
-/// Reporter to entry: what a backend server says of itself.
-struct server_report_frame
-{
-    /// IP:PORT of the backend server.
-    std::string server;
-    std::uint64_t sequence = 0;
-    /// The backend server answers the reporter.
-    bool answering = false;
-    bool leaving = false;
-    bool leavesKnown = false;
-    /// Time until it is gone; only with `leavesKnown`.
-    std::int64_t leavesMs = 0;
-    std::int64_t bornUnixMs = 0;
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    /// Of those running, the ones that have made nothing yet.
-    std::uint32_t starting = 0;
-    std::uint64_t usedTokens = 0;
-    std::uint64_t capacityTokens = 0;
-    std::uint64_t nextTokens = 0;
-    /// Only while it is leaving: time since that was first seen, and what runs.
-    std::int64_t leavingForMs = 0;
-    std::vector<server_run> runs;
-    /// Entries that have asked for reports of late.
-    std::uint32_t listeners = 0;
-
-    template <typename Self, typename Visitor>
-    static auto visitFields(Self &self, Visitor &&visit) -> void
-    {
-        visit(self.server);
-        visit(self.sequence);
-        visit(self.answering);
-        visit(self.leaving);
-        visit(self.leavesKnown);
-        visit(self.leavesMs);
-        visit(self.bornUnixMs);
-        visit(self.running);
-        visit(self.waiting);
-        visit(self.starting);
-        visit(self.usedTokens);
-        visit(self.capacityTokens);
-        visit(self.nextTokens);
-        visit(self.leavingForMs);
-        visit(self.runs);
-        visit(self.listeners);
-    }
-};
-
 using frame
     = std::variant<hello_frame, bid_frame, withdraw_frame, grant_frame, start_frame, attach_frame,
                    credit_frame, cancel_frame, refusal_frame, tokens_frame, finished_frame,
                    call_frame, call_result_frame, load_report_frame, control_frame, claim_frame,
-                   claim_reply_frame, report_request_frame, server_report_frame>;
+                   claim_reply_frame, report_request_frame, server_report_frame, room_request_frame,
+                   room_reply_frame>;
 
 } // namespace marjoram
--- /dev/null
+++ b/src/innerprotocol/reportframes.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "servers/serverentry.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace marjoram {
+
+/// Entry to reporter: reports are wanted for a while.
+struct report_request_frame
+{
+    std::string host;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.host);
+    }
+};
+
+/// Reporter to entry: what a backend server says of itself.
+struct server_report_frame
+{
+    /// IP:PORT of the backend server.
+    std::string server;
+    std::uint64_t sequence = 0;
+    /// The backend server answers the reporter.
+    bool answering = false;
+    bool leaving = false;
+    bool leavesKnown = false;
+    /// Time until it is gone; only with `leavesKnown`.
+    std::int64_t leavesMs = 0;
+    std::int64_t bornUnixMs = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Of those running, the ones that have made nothing yet.
+    std::uint32_t starting = 0;
+    std::uint64_t usedTokens = 0;
+    std::uint64_t capacityTokens = 0;
+    std::uint64_t nextTokens = 0;
+    /// Only while it is leaving: time since that was first seen, and what runs.
+    std::int64_t leavingForMs = 0;
+    std::vector<server_run> runs;
+    /// Entries that have asked for reports of late.
+    std::uint32_t listeners = 0;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.server);
+        visit(self.sequence);
+        visit(self.answering);
+        visit(self.leaving);
+        visit(self.leavesKnown);
+        visit(self.leavesMs);
+        visit(self.bornUnixMs);
+        visit(self.running);
+        visit(self.waiting);
+        visit(self.starting);
+        visit(self.usedTokens);
+        visit(self.capacityTokens);
+        visit(self.nextTokens);
+        visit(self.leavingForMs);
+        visit(self.runs);
+        visit(self.listeners);
+    }
+};
+
+/// Entry to reporter: whether a generation may be sent to the backend server now.
+struct room_request_frame
+{
+    std::uint64_t askId = 0;
+    /// Id under which the backend server will list the run.
+    std::string requestId;
+    /// Memory it is expected to take in the end, in tokens.
+    std::uint64_t expectedTokens = 0;
+    /// Prompts that may be read before its own.
+    std::uint32_t promptsAhead = 0;
+    /// 0 is the most urgent.
+    std::uint32_t urgency = 0;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.askId);
+        visit(self.requestId);
+        visit(self.expectedTokens);
+        visit(self.promptsAhead);
+        visit(self.urgency);
+    }
+};
+
+/// Reporter to entry: the answer, with the state that decided it.
+struct room_reply_frame
+{
+    std::uint64_t askId = 0;
+    bool granted = false;
+    server_report_frame report;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.askId);
+        visit(self.granted);
+        visit(self.report);
+    }
+};
+
+} // namespace marjoram
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -4,6 +4,7 @@
 #include "reporting/datagramsocket.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 #include <unordered_map>
 
 namespace marjoram {
@@ -49,6 +50,7 @@
         : options(std::move(given))
         , metrics(numbers)
         , servers(worker.context(), rings.directoryToReports, outer)
+        , asks(worker.context(), rings.toReports, outer)
         , reports(worker.context(), rings.fromReports, BACKLOG_LIMIT)
         , socket(worker.context(), *this)
         , timer(worker.context())
@@ -88,24 +90,60 @@
     }
     auto onDatagram(const endpoint &, frame message) -> void
     {
-        const auto *report = std::get_if<server_report_frame>(&message);
-        const auto found = report ? reporters.find(report->server) : reporters.end();
+        if (const auto *report = std::get_if<server_report_frame>(&message)) {
+            onReport(*report);
+        } else if (const auto *reply = std::get_if<room_reply_frame>(&message)) {
+            onRoomReply(*reply);
+        }
+    }
+    auto onRoomReply(const room_reply_frame &reply) -> void
+    {
+        const auto found = reporters.find(reply.report.server);
+        if (found == reporters.end()) {
+            return;
+        }
+        auto &state = found->second;
+        state.vain = 0;
+        state.sequence = std::max(state.sequence, reply.report.sequence);
+        reports.push(room_replied{.askId = reply.askId,
+                                  .granted = reply.granted,
+                                  .serverId = state.serverId,
+                                  .report = reportOf(reply.report)});
+    }
+    auto askRoom(const ask_room &asked) -> void
+    {
+        const auto found
+            = std::find_if(reporters.begin(), reporters.end(), [&asked](const auto &named) {
+                  return named.second.serverId == asked.serverId;
+              });
+        if (found != reporters.end()) {
+            socket.send(found->second.reporter,
+                        room_request_frame{.askId = asked.askId,
+                                           .requestId = asked.requestId,
+                                           .expectedTokens = asked.expectedTokens,
+                                           .promptsAhead = asked.promptsAhead,
+                                           .urgency = asked.urgency});
+        }
+    }
+    auto onReport(const server_report_frame &report) -> void
+    {
+        const auto found = reporters.find(report.server);
         if (found == reporters.end()) {
             return;
         }
         auto &state = found->second;
-        const auto other = report->bornUnixMs != 0 && state.bornUnixMs != 0
-                           && report->bornUnixMs != state.bornUnixMs;
+        const auto other = report.bornUnixMs != 0 && state.bornUnixMs != 0
+                           && report.bornUnixMs != state.bornUnixMs;
         // A reporter that was started anew counts from 1 again.
-        const auto stale = report->sequence <= state.sequence && report->sequence > 1;
+        const auto stale = report.sequence <= state.sequence && report.sequence > 1;
         state.vain = 0;
         if (other || stale) {
             metrics.add(reports_metric::reports_stale);
             return;
         }
-        state.sequence = report->sequence;
+        state.sequence = report.sequence;
         metrics.add(reports_metric::reports_heard);
-        reports.push({.serverId = state.serverId, .report = reportOf(*report)});
+        reports.push(server_reported{.serverId = state.serverId, .report = reportOf(report)});
     }
     auto ask(reporter_state &state) -> void
     {
@@ -134,7 +172,8 @@
     metric_set<reports_metric> &metrics;
     duty worker{"reports"};
     ring_reader<servers_changed, reports_duty> servers;
-    ring_writer<server_reported> reports;
+    ring_reader<ask_room, reports_duty> asks;
+    ring_writer<report_event> reports;
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
     /// By the server's address.
@@ -159,6 +198,7 @@
 auto reports_duty::start() -> void
 {
     m_impl->servers.start();
+    m_impl->asks.start();
     m_impl->socket.start();
     boost::asio::post(m_impl->worker.context(), [this] { m_impl->askAll(); });
     m_impl->worker.start();
@@ -174,4 +214,9 @@
     m_impl->onServers(changed);
 }
 
+auto reports_duty::handle(ask_room &&asked) -> void
+{
+    m_impl->askRoom(asked);
+}
+
 } // namespace marjoram
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -25,13 +25,21 @@
     /// Looks without an answer after which the server counts as not answering.
     std::uint32_t looksToDoubt = 2;
     std::size_t listenerLimit = 1'024;
+    /// Time for which room is kept for a request that does not show up at the server.
+    std::int64_t grantUs = 1 * US_PER_SECOND;
+    /// Share of the server's memory that urgent and other new work may fill; the rest is for what
+    /// moves here.
+    double urgentMemory = 0.97;
+    double standardMemory = 0.90;
+    /// Memory by which each run is expected to grow while others end, in tokens.
+    std::uint64_t growthTokens = 300;
 };
 
 /// Takes the actions of a report_core.
 template <typename S>
-concept report_sink = requires(S &sink, const endpoint &listener, const server_report_frame &report)
+concept report_sink = requires(S &sink, const endpoint &listener, const frame &message)
 {
-    sink.send(listener, report);
+    sink.send(listener, message);
 };
 
 /// Decides when entries hear of a backend server: at once when it leaves, is lost or is started
@@ -63,9 +71,22 @@
         }
         m_listeners.insert_or_assign(key, listener_state{listener, now});
         if (!known && m_looked) {
-            m_sink.send(listener, numbered(now));
+            m_sink.send(listener, numbered());
         }
     }
+    /// An entry asks for room. Since all ask here, no two are given the same room.
+    auto onRoomRequest(const endpoint &from, const room_request_frame &asked) -> void
+    {
+        const auto now = m_clock.now();
+        forgetGrants(now);
+        const auto granted = m_report.answering && !m_report.leaving && hasRoom(asked);
+        if (granted) {
+            m_grants.insert_or_assign(
+                asked.requestId, grant_state{asked.expectedTokens, now});
+        }
+        m_sink.send(from, room_reply_frame{
+                              .askId = asked.askId, .granted = granted, .report = numbered()});
+    }
     auto onReport(const server_report &seen) -> void
     {
         const auto news = !m_report.answering || m_report.bornUnixMs != seen.bornUnixMs;
@@ -80,6 +101,9 @@
         m_report.usedTokens = seen.usedTokens;
         m_report.capacityTokens = seen.capacityTokens;
         m_report.nextTokens = seen.nextTokens;
+        for (const auto &run : seen.runs) {
+            m_grants.erase(run.requestId);
+        }
         noteLeaving(seen);
         m_failures = 0;
         m_looked = true;
@@ -107,6 +131,12 @@
         endpoint where;
         time_us askedAt;
     };
+    /// Room kept for a request that is on its way or waits at the server.
+    struct grant_state
+    {
+        std::uint64_t expectedTokens = 0;
+        time_us at;
+    };
 
     auto noteLeaving(const server_report &seen) -> void
     {
@@ -119,6 +149,27 @@
         m_report.leavingForMs = (now - m_leavingSince) / US_PER_MS;
         m_report.runs = seen.runs;
     }
+    auto hasRoom(const room_request_frame &asked) const -> bool
+    {
+        std::uint64_t tokens = 0;
+        for (const auto &[id, granted] : m_grants) {
+            tokens += granted.expectedTokens;
+        }
+        const auto prompts = static_cast<std::uint32_t>(m_grants.size());
+        const auto share
+            = asked.urgency == 0 ? m_options.urgentMemory : m_options.standardMemory;
+        const auto growth = m_report.running * m_options.growthTokens;
+        const auto needed = m_report.usedTokens + growth + tokens + asked.expectedTokens;
+        const auto ahead = m_report.starting + std::max(m_report.waiting, prompts);
+        return static_cast<double>(needed) <= share * static_cast<double>(m_report.capacityTokens)
+               && ahead <= asked.promptsAhead;
+    }
+    auto forgetGrants(time_us now) -> void
+    {
+        std::erase_if(m_grants, [&](const auto &named) {
+            return now - named.second.at > m_options.grantUs;
+        });
+    }
     auto publish(bool urgent) -> void
     {
         const auto now = m_clock.now();
@@ -128,12 +179,12 @@
         m_sentAt = now;
         m_queueTold = m_report.starting + m_report.waiting;
         forgetListeners(now);
-        const auto report = numbered(now);
+        const auto report = numbered();
         for (const auto &[key, listener] : m_listeners) {
             m_sink.send(listener.where, report);
         }
     }
-    auto numbered(time_us) -> server_report_frame
+    auto numbered() -> server_report_frame
     {
         ++m_report.sequence;
         m_report.listeners = static_cast<std::uint32_t>(m_listeners.size());
@@ -151,6 +202,8 @@
     Sink &m_sink;
     server_report_frame m_report;
     std::map<std::string, listener_state> m_listeners;
+    /// By request id.
+    std::map<std::string, grant_state> m_grants;
     std::uint32_t m_failures = 0;
     bool m_looked = false;
     time_us m_leavingSince;
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -63,14 +63,16 @@
 
     // --- actions of the core and events, on the duty's thread
 
-    auto send(const endpoint &listener, const server_report_frame &report) -> void
+    auto send(const endpoint &listener, const frame &message) -> void
     {
-        m_socket.send(listener, report);
+        m_socket.send(listener, message);
     }
     auto onDatagram(const endpoint &from, frame message) -> void
     {
         if (std::holds_alternative<report_request_frame>(message)) {
             m_core.onRequest(from);
+        } else if (const auto *asked = std::get_if<room_request_frame>(&message)) {
+            m_core.onRoomRequest(from, *asked);
         }
     }
     auto onHead(channel &, const channel_head &) -> head_verdict { return head_verdict::take; }
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -56,6 +56,7 @@
     // --- called by the ring reader on the duty's thread
 
     auto handle(servers_changed &&changed) -> void;
+    auto handle(ask_room &&asked) -> void;
 
 private:
     struct impl;
