Room by how long a generation holds it

Cause: 700 refusals of the grown flood said memory_taken, triage among them, though a brief answer is gone in half a second: the reserve for the growth of others was asked of it in full, and rank says nothing of size since a team's rank goes first.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -147,8 +147,7 @@
         log(log_event::caller_left, request, {{"phase", std::string(nameOf(request.phase))}});
         // Work that may not be repeated runs on: cutting it would leave its outcome unknown.
         if (request.route->kind != work_kind::at_most_once
-            || request.phase == request_phase::waiting
-            || request.phase == request_phase::asking) {
+            || request.phase == request_phase::waiting || request.phase == request_phase::asking) {
             cancelRun(request);
             close(request);
         }
@@ -164,7 +163,8 @@
             return;
         }
         endQuestion(*request);
-        if (replied.granted) {
+        request->question.last = replied.verdict;
+        if (replied.verdict == room_verdict::granted) {
             send(*request, request->question.serverId, request->question.server, std::nullopt);
             return;
         }
@@ -360,8 +360,8 @@
     {
         auto &question = request.question;
         const auto *view = request.pool && question.count < m_options.questions
-            ? roomFor(request, false)
-            : nullptr;
+                               ? roomFor(request, false)
+                               : nullptr;
         if (!view) {
             return false;
         }
@@ -386,8 +386,8 @@
                         .serverId = request.question.serverId,
                         .requestId = request.request->requestId,
                         .expectedTokens = expectedTokens(request),
-                        .promptsAhead = promptsAllowed(request),
-                        .urgency = request.urgency});
+                        .outputTokens = expectedTokens(request) - request.promptTokens(),
+                        .promptsAhead = promptsAllowed(request)});
     }
     /// Prompts that may be read before this one without missing the latency target.
     auto promptsAllowed(const request_state &request) const -> std::uint32_t
@@ -429,7 +429,8 @@
              {"route", request.route->name},
              {"in_flight", static_cast<std::int64_t>(view ? view->inFlight : 0)},
              {"taken_tokens", static_cast<std::int64_t>(view ? takenTokens(*view) : 0)},
-             {"running", static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
+             {"running",
+              static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
              {"prompts_ahead", static_cast<std::int64_t>(view ? promptsAhead(*view) : 0)},
              {"report_age_ms", reportAgeMs(view)},
              {"sends", static_cast<std::int64_t>(request.sends)}});
@@ -472,26 +473,28 @@
         request.phase = request_phase::waiting;
         if (!request.waitUntil) {
             const auto us = m_options.waitShare
-                * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
             request.waitUntil = now + static_cast<std::int64_t>(us);
             log(log_event::request_waiting, request,
                 {{"route", request.route->name},
-                 {"questions", static_cast<std::int64_t>(request.question.count)}});
+                 {"questions", static_cast<std::int64_t>(request.question.count)},
+                 {"room", std::string(nameOf(request.question.last))}});
         }
         if (now >= *request.waitUntil) {
             onNoRoom(request);
             return;
         }
         m_timers.set({timer_kind::room, request.number}, *request.waitUntil);
-        const auto width = static_cast<std::uint64_t>(m_options.mostAgainUs - m_options.leastAgainUs);
+        const auto width
+            = static_cast<std::uint64_t>(m_options.mostAgainUs - m_options.leastAgainUs);
         m_timers.set({timer_kind::again, request.number},
                      now + m_options.leastAgainUs + static_cast<std::int64_t>(m_random() % width));
     }
     auto onNoRoom(request_state &request) -> void
     {
         const auto reason = m_directory.sizeOf(request.pool ? request.pool->name : "") == 0
-            ? failure::no_backend_server
-            : failure::overloaded;
+                                ? failure::no_backend_server
+                                : failure::overloaded;
         failRequest(request, reason,
                     request.attempts > 0 ? run_state::unknown : run_state::not_run);
     }
@@ -697,8 +700,8 @@
 
     auto onDeadline(request_state &request) -> void
     {
-        const auto sent = request.phase == request_phase::sent
-            || request.phase == request_phase::streaming;
+        const auto sent
+            = request.phase == request_phase::sent || request.phase == request_phase::streaming;
         cancelRun(request);
         failRequest(request, sent ? failure::deadline_exceeded : failure::would_miss_deadline,
                     sent || request.attempts > 0 ? run_state::unknown : run_state::not_run);
@@ -831,6 +834,7 @@
              {"ran", std::string(nameOf(ran))},
              {"server", request.run.serverId},
              {"sends", static_cast<std::int64_t>(request.sends)},
+             {"room", std::string(nameOf(request.question.last))},
              {"after_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
         toCaller(request, give_failure{.callerId = request.callerId,
                                        .reason = reason,
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwardtypes.h"
 #include "framework/ring/ring.h"
+#include "innerprotocol/reportframes.h"
 #include "servers/serverentry.h"
 
 namespace marjoram {
@@ -26,7 +27,7 @@
 struct room_replied
 {
     std::uint64_t askId = 0;
-    bool granted = false;
+    room_verdict verdict = room_verdict::not_answering;
     std::string serverId;
     server_report report;
 };
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -144,8 +144,8 @@
     std::string serverId;
     std::string requestId;
     std::uint64_t expectedTokens = 0;
+    std::uint64_t outputTokens = 0;
     std::uint32_t promptsAhead = 0;
-    std::uint32_t urgency = 0;
 };
 
 /// Sends a request to a backend server.
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -70,8 +70,8 @@
     return known + view.sentSince;
 }
 
-/// Of a random sample, the server with the least of its memory or slots taken and the fewest prompts
-/// to read. An engine without room is not chosen for new work.
+/// Of a random sample, the server with the least of its memory or slots taken and the fewest
+/// prompts to read. An engine without room is not chosen for new work.
 struct most_room
 {
     static auto choose(const placement_ask &ask, const std::vector<const server_view *> &usable,
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwardtypes.h"
 #include "framework/global/clock.h"
+#include "innerprotocol/reportframes.h"
 
 #include <cstdint>
 #include <optional>
@@ -77,8 +78,9 @@
     /// Questions since the request last waited.
     std::uint32_t count = 0;
     std::uint32_t unanswered = 0;
-    /// Servers that had no room.
+    /// Servers that had no room, and what the last one said.
     std::vector<std::string> full;
+    room_verdict last = room_verdict::granted;
 };
 
 /// A request from when it is read until its answer is complete.
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -78,8 +78,8 @@
     std::uint64_t expectedTokens = 0;
     /// Prompts that may be read before its own.
     std::uint32_t promptsAhead = 0;
-    /// 0 is the most urgent.
-    std::uint32_t urgency = 0;
+    /// Output it is expected to make, in tokens; part of the above.
+    std::uint64_t outputTokens = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -88,22 +88,36 @@
         visit(self.requestId);
         visit(self.expectedTokens);
         visit(self.promptsAhead);
-        visit(self.urgency);
+        visit(self.outputTokens);
     }
 };
 
+/// What a reporter says of room at its backend server.
+enum class room_verdict { granted, not_answering, leaving, memory_taken, prompts_ahead };
+inline constexpr std::array roomVerdictNames{
+    enum_name<room_verdict>{room_verdict::granted, "granted"},
+    enum_name<room_verdict>{room_verdict::not_answering, "not_answering"},
+    enum_name<room_verdict>{room_verdict::leaving, "leaving"},
+    enum_name<room_verdict>{room_verdict::memory_taken, "memory_taken"},
+    enum_name<room_verdict>{room_verdict::prompts_ahead, "prompts_ahead"},
+};
+constexpr auto namesOf(room_verdict) -> const auto &
+{
+    return roomVerdictNames;
+}
+
 /// Reporter to entry: the answer, with the state that decided it.
 struct room_reply_frame
 {
     std::uint64_t askId = 0;
-    bool granted = false;
+    room_verdict verdict = room_verdict::not_answering;
     server_report_frame report;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
     {
         visit(self.askId);
-        visit(self.granted);
+        visit(self.verdict);
         visit(self.report);
     }
 };
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -3,8 +3,8 @@
 #include "framework/ring/ringends.h"
 #include "reporting/datagramsocket.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 
 namespace marjoram {
@@ -106,7 +106,7 @@
         state.vain = 0;
         state.sequence = std::max(state.sequence, reply.report.sequence);
         reports.push(room_replied{.askId = reply.askId,
-                                  .granted = reply.granted,
+                                  .verdict = reply.verdict,
                                   .serverId = state.serverId,
                                   .report = reportOf(reply.report)});
     }
@@ -122,7 +122,7 @@
                                            .requestId = asked.requestId,
                                            .expectedTokens = asked.expectedTokens,
                                            .promptsAhead = asked.promptsAhead,
-                                           .urgency = asked.urgency});
+                                           .outputTokens = asked.outputTokens});
         }
     }
     auto onReport(const server_report_frame &report) -> void
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -27,10 +27,12 @@
     std::size_t listenerLimit = 1'024;
     /// Time for which room is kept for a request that does not show up at the server.
     std::int64_t grantUs = 1 * US_PER_SECOND;
-    /// Share of the server's memory that urgent and other new work may fill; the rest is for what
+    /// Output up to which a generation counts as brief, in tokens.
+    std::uint64_t briefTokens = 64;
+    /// Share of the server's memory that brief and long new work may fill; the rest is for what
     /// moves here.
-    double urgentMemory = 0.97;
-    double standardMemory = 0.90;
+    double briefMemory = 1.0;
+    double longMemory = 0.90;
     /// Memory by which each run is expected to grow while others end, in tokens.
     std::uint64_t growthTokens = 300;
 };
@@ -43,8 +45,9 @@
 };
 
 /// Decides when entries hear of a backend server: at once when it leaves, is lost or is started
-/// anew, or when the prompts change that it has to read, otherwise from time to time. A leaving or lost server is told with each look, since
-/// datagrams get lost. Not thread safe: belongs to one duty.
+/// anew, or when the prompts change that it has to read, otherwise from time to time. A leaving or
+/// lost server is told with each look, since datagrams get lost. Not thread safe: belongs to one
+/// duty.
 template <clock_source Clock, typename Sink>
 class report_core
 {
@@ -79,13 +82,12 @@
     {
         const auto now = m_clock.now();
         forgetGrants(now);
-        const auto granted = m_report.answering && !m_report.leaving && hasRoom(asked);
-        if (granted) {
-            m_grants.insert_or_assign(
-                asked.requestId, grant_state{asked.expectedTokens, now});
+        const auto verdict = verdictOn(asked);
+        if (verdict == room_verdict::granted) {
+            m_grants.insert_or_assign(asked.requestId, grant_state{asked.expectedTokens, now});
         }
-        m_sink.send(from, room_reply_frame{
-                              .askId = asked.askId, .granted = granted, .report = numbered()});
+        m_sink.send(
+            from, room_reply_frame{.askId = asked.askId, .verdict = verdict, .report = numbered()});
     }
     auto onReport(const server_report &seen) -> void
     {
@@ -149,26 +151,34 @@
         m_report.leavingForMs = (now - m_leavingSince) / US_PER_MS;
         m_report.runs = seen.runs;
     }
-    auto hasRoom(const room_request_frame &asked) const -> bool
+    auto verdictOn(const room_request_frame &asked) const -> room_verdict
     {
+        if (!m_report.answering) {
+            return room_verdict::not_answering;
+        }
+        if (m_report.leaving || m_report.leavesKnown) {
+            return room_verdict::leaving;
+        }
         std::uint64_t tokens = 0;
         for (const auto &[id, granted] : m_grants) {
             tokens += granted.expectedTokens;
         }
-        const auto prompts = static_cast<std::uint32_t>(m_grants.size());
-        const auto share
-            = asked.urgency == 0 ? m_options.urgentMemory : m_options.standardMemory;
-        const auto growth = m_report.running * m_options.growthTokens;
+        // Whatever is short is gone before others have grown much.
+        const auto brief = asked.outputTokens <= m_options.briefTokens;
+        const auto share = brief ? m_options.briefMemory : m_options.longMemory;
+        const auto growth = m_report.running * std::min(m_options.growthTokens, asked.outputTokens);
         const auto needed = m_report.usedTokens + growth + tokens + asked.expectedTokens;
+        if (static_cast<double>(needed) > share * static_cast<double>(m_report.capacityTokens)) {
+            return room_verdict::memory_taken;
+        }
+        const auto prompts = static_cast<std::uint32_t>(m_grants.size());
         const auto ahead = m_report.starting + std::max(m_report.waiting, prompts);
-        return static_cast<double>(needed) <= share * static_cast<double>(m_report.capacityTokens)
-               && ahead <= asked.promptsAhead;
+        return ahead > asked.promptsAhead ? room_verdict::prompts_ahead : room_verdict::granted;
     }
     auto forgetGrants(time_us now) -> void
     {
-        std::erase_if(m_grants, [&](const auto &named) {
-            return now - named.second.at > m_options.grantUs;
-        });
+        std::erase_if(m_grants,
+                      [&](const auto &named) { return now - named.second.at > m_options.grantUs; });
     }
     auto publish(bool urgent) -> void
     {
