--- /dev/null
+++ b/src/directory/tests/listwatchtests.cpp
@@ -0,0 +1,121 @@
+#include "directory/listwatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+
+namespace {
+
+struct recorder
+{
+    std::vector<std::string> lists;
+    std::vector<std::uint64_t> watches;
+    int settled = 0;
+    int lost = 0;
+    int regained = 0;
+
+    auto list(const std::string &after) -> void { lists.push_back(after); }
+    auto watch(std::uint64_t revision, std::int64_t) -> void { watches.push_back(revision); }
+    auto onPublished(const published<int> &) -> void { }
+    auto onSettled() -> void { ++settled; }
+    auto onServiceLost() -> void { ++lost; }
+    auto onServiceRegained() -> void { ++regained; }
+};
+
+struct fixture
+{
+    virtual_clock_source::state time;
+    recorder sink;
+    list_watch<int, virtual_clock_source, recorder> feed{
+        {.doubtUs = 2 * US_PER_SECOND}, virtual_clock_source(&time), 1, sink};
+
+    auto advance(std::int64_t ms) -> void
+    {
+        time.now = time.now + ms * US_PER_MS;
+        feed.onTimer();
+    }
+    auto listed(std::initializer_list<std::string> keys, std::uint64_t revision) -> void
+    {
+        published_page<int> page{.revision = revision};
+        for (const auto &key : keys) {
+            page.items.push_back({.key = key, .revision = 1, .value = 1});
+        }
+        feed.onPage(std::move(page));
+    }
+};
+
+} // namespace
+
+TEST_CASE("pages are followed to the end, and the watch begins at the first page's revision")
+{
+    fixture f;
+    f.feed.start();
+    f.feed.onPage(
+        {.items = {{.key = "a", .revision = 1, .value = 1}}, .more = true, .revision = 7});
+    CHECK(f.sink.lists == std::vector<std::string>{"", "a"});
+    f.feed.onPage({.items = {{.key = "b", .revision = 2, .value = 2}}, .revision = 9});
+    f.advance(1);
+    CHECK(f.sink.watches == std::vector<std::uint64_t>{7});
+    CHECK(f.feed.items().size() == 2);
+}
+
+TEST_CASE("a lost history is listed anew, and what is missing is removed")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onCompacted();
+    f.listed({"b"}, 20);
+    CHECK_FALSE(f.feed.items().contains("a"));
+    CHECK(f.feed.revision() == 20);
+}
+
+TEST_CASE("an older change of a key does not replace a newer one")
+{
+    fixture f;
+    f.feed.start();
+    f.feed.onPage({.items = {{.key = "a", .revision = 5, .value = 5}}, .revision = 5});
+    f.feed.onChanges({{.key = "a", .revision = 4, .value = 4}}, 6);
+    CHECK(f.feed.items().at("a").value == 5);
+}
+
+TEST_CASE("a removal after an outage is doubted for a while, and undone when the key comes back")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onFailed();
+    CHECK(f.sink.lost == 1);
+    f.advance(500);
+    f.feed.onChanges({{.key = "a", .revision = 8, .removed = true},
+                      {.key = "b", .revision = 9, .removed = true}},
+                     9);
+    CHECK(f.sink.regained == 1);
+    CHECK(f.feed.items().size() == 2);
+    f.feed.onChanges({{.key = "a", .revision = 10, .value = 1}}, 10);
+    f.advance(2'100);
+    CHECK(f.feed.items().contains("a"));
+    CHECK_FALSE(f.feed.items().contains("b"));
+}
+
+TEST_CASE("without an outage a removal holds at once")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.feed.onChanges({{.key = "a", .revision = 8, .removed = true}}, 8);
+    CHECK(f.feed.items().empty());
+}
+
+TEST_CASE("failures are followed by a pause, and the watch goes on where it was")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.advance(0);
+    f.feed.onFailed();
+    f.advance(100);
+    CHECK(f.sink.watches.size() == 1);
+    f.advance(400);
+    CHECK(f.sink.watches == std::vector<std::uint64_t>{5, 5});
+}
--- /dev/null
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -0,0 +1,424 @@
+#include "forwarding/forwardingcore.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+
+namespace {
+
+/// Keeps what the core asks for.
+struct recorder
+{
+    std::vector<forward_action> toCallers;
+    std::vector<server_command> toServers;
+    std::vector<ask_room> asks;
+
+    auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
+    auto toServer(server_command command) -> void { toServers.push_back(std::move(command)); }
+    auto askRoom(ask_room ask) -> void { asks.push_back(std::move(ask)); }
+    auto log(log_event, const std::string &, std::vector<log_field>) -> void { }
+
+    template <typename T>
+    auto callers() const -> std::vector<T>
+    {
+        return pick<T>(toCallers);
+    }
+    template <typename T>
+    auto servers() const -> std::vector<T>
+    {
+        return pick<T>(toServers);
+    }
+    template <typename T>
+    static auto pick(const auto &from) -> std::vector<T>
+    {
+        std::vector<T> out;
+        for (const auto &one : from) {
+            if (const auto *found = std::get_if<T>(&one)) {
+                out.push_back(*found);
+            }
+        }
+        return out;
+    }
+};
+
+auto tableOf() -> route_table_ptr
+{
+    route_table_content content{.version = 1};
+    const auto add = [&](std::string prefix, work_kind kind, std::uint32_t attempts, bool resumable,
+                         std::string pool) {
+        content.routes.push_back({.name = prefix,
+                                  .host = "h",
+                                  .pathPrefix = "/" + prefix + "/",
+                                  .kind = kind,
+                                  .timeoutMs = 4'000,
+                                  .latencyTargetMs = 300,
+                                  .attempts = attempts,
+                                  .pools = {{.pool = std::move(pool)}},
+                                  .resumable = resumable});
+    };
+    add("book", work_kind::at_most_once, 1, false, "desk");
+    add("look", work_kind::repeatable, 2, false, "desk");
+    add("draft", work_kind::generation, 1, false, "engines");
+    add("label", work_kind::generation, 2, true, "engines");
+    content.pools.push_back({.name = "desk"});
+    content.pools.push_back({.name = "engines",
+                             .engine = engine_traits{.slots = 24,
+                                                     .memoryTokens = 34'000,
+                                                     .bytesPerToken = 327'680,
+                                                     .linkMbps = 47'000.0,
+                                                     .moves = true,
+                                                     .tokensPerEvent = 4}});
+    return std::make_shared<const route_table>(std::move(content));
+}
+
+auto serverOf(std::string id, std::string pool) -> server_entry
+{
+    const auto port = static_cast<std::uint16_t>(1'000 + id.back());
+    return {.id = std::move(id),
+            .pool = std::move(pool),
+            .address = {.address = "10.0.0.1", .port = port},
+            .dataCentre = "d",
+            .slots = 6};
+}
+
+/// A core in virtual time with two servers in each pool.
+struct fixture
+{
+    virtual_clock_source::state time;
+    server_directory directory{{}};
+    recorder sink;
+    forwarding_core<most_room, virtual_clock_source, recorder> core{
+        {.dataCentre = "d"}, virtual_clock_source(&time), 1, directory, sink};
+    std::uint64_t lastCaller = 0;
+
+    fixture()
+    {
+        core.onTable(tableOf());
+        core.onServers({serverOf("i-a", "desk"), serverOf("i-b", "desk"),
+                        serverOf("i-c", "engines"), serverOf("i-d", "engines")});
+    }
+    auto open(const std::string &prefix) -> std::uint64_t
+    {
+        auto request = std::make_shared<forward_request>();
+        request->callerId = ++lastCaller;
+        request->requestId = "r" + std::to_string(lastCaller);
+        request->method = "POST";
+        request->target = "/" + prefix + "/x";
+        request->host = "h";
+        request->patienceMs = 4'000;
+        request->generation.promptTokens = 3'000;
+        request->generation.mostOutputTokens = 1'000;
+        core.onOpen({request});
+        return lastCaller;
+    }
+    auto lastSend() -> send_forward { return sink.servers<send_forward>().back(); }
+    auto sends() -> std::size_t { return sink.servers<send_forward>().size(); }
+    auto failed(fetch_phase phase) -> void
+    {
+        core.onEvent(exchange_failed{.exchangeId = lastSend().exchangeId,
+                                     .phase = phase,
+                                     .error = make_error_code(failure::backend_server_lost)});
+    }
+    auto begin() -> void { core.onEvent(stream_begun{.exchangeId = lastSend().exchangeId}); }
+    auto events(std::uint64_t from, std::uint64_t to) -> void
+    {
+        stream_advanced advanced{.exchangeId = lastSend().exchangeId};
+        for (auto id = from; id <= to; ++id) {
+            advanced.events.push_back({.id = id, .bytes = std::to_string(id) + ";"});
+        }
+        core.onEvent(std::move(advanced));
+    }
+    auto given() const -> std::string
+    {
+        std::string out;
+        for (const auto &events : sink.callers<give_events>()) {
+            out += events.bytes;
+        }
+        return out;
+    }
+    auto advance(std::int64_t ms) -> void
+    {
+        time.now = time.now + ms * US_PER_MS;
+        core.onTimer();
+    }
+    /// The server of the last send leaves and tells that the last request runs there.
+    auto leave() -> void
+    {
+        core.onReport(lastSend().serverId, {.state = server_state::leaving,
+                                            .leavesMs = 1'500,
+                                            .runs = {{lastSend().request->requestId, 3'000, 100}}});
+    }
+};
+
+} // namespace
+
+TEST_CASE("an answer passes unchanged")
+{
+    fixture f;
+    f.open("book");
+    f.core.onEvent(server_answered{
+        .exchangeId = f.lastSend().exchangeId, .head = {.status = 200}, .body = "ok"});
+    REQUIRE(f.sink.callers<give_answer>().size() == 1);
+    CHECK(f.sink.callers<give_answer>().front().body == "ok");
+    CHECK(f.core.drained());
+}
+
+TEST_CASE("work that may run once is sent again only when it certainly has not run")
+{
+    fixture f;
+    f.open("book");
+    f.failed(fetch_phase::connecting);
+    CHECK(f.sends() == 2);
+    f.failed(fetch_phase::reading);
+    CHECK(f.sends() == 2);
+    REQUIRE(f.sink.callers<give_failure>().size() == 1);
+    CHECK(f.sink.callers<give_failure>().front().ran == run_state::unknown);
+    CHECK_FALSE(f.sink.callers<give_failure>().front().retryAfterMs);
+}
+
+TEST_CASE("a refusal that promises too much is not passed on for work that may run once")
+{
+    fixture f;
+    f.open("book");
+    f.core.onEvent(server_answered{.exchangeId = f.lastSend().exchangeId, .head = {.status = 503}});
+    CHECK(f.sink.callers<give_answer>().empty());
+    CHECK(f.sink.callers<give_failure>().front().ran == run_state::unknown);
+}
+
+TEST_CASE("a server that did not run the request is avoided the second time")
+{
+    fixture f;
+    f.open("look");
+    const auto first = f.lastSend().serverId;
+    f.core.onEvent(server_answered{.exchangeId = f.lastSend().exchangeId,
+                                   .head = {.status = 503, .notRun = true}});
+    CHECK(f.sends() == 2);
+    CHECK(f.lastSend().serverId != first);
+}
+
+TEST_CASE("a failed answer of repeatable work is tried once more, then passed on as it is")
+{
+    fixture f;
+    f.open("look");
+    for (int i = 0; i < 2; ++i) {
+        f.core.onEvent(
+            server_answered{.exchangeId = f.lastSend().exchangeId, .head = {.status = 500}});
+    }
+    CHECK(f.sends() == 2);
+    CHECK(f.sink.callers<give_answer>().front().status == 500);
+}
+
+TEST_CASE("a slow call that may be repeated is tried elsewhere")
+{
+    fixture f;
+    f.open("look");
+    f.advance(601);
+    CHECK(f.sends() == 2);
+    CHECK(f.sink.servers<cancel_forward>().size() == 1);
+}
+
+TEST_CASE("a request without an answer is ended at its route's time")
+{
+    fixture f;
+    f.open("book");
+    f.advance(4'001);
+    CHECK(f.sink.callers<give_failure>().front().reason == failure::deadline_exceeded);
+    CHECK(f.core.drained());
+}
+
+TEST_CASE("repeatable work is cancelled with its caller, work that may run once is not")
+{
+    fixture f;
+    f.core.onCallerLeft(f.open("look"));
+    CHECK(f.sink.servers<cancel_forward>().size() == 1);
+    f.core.onCallerLeft(f.open("book"));
+    CHECK(f.sink.servers<cancel_forward>().size() == 1);
+    CHECK_FALSE(f.core.drained());
+}
+
+TEST_CASE("a broken stream goes on behind its last event where it may be begun anew")
+{
+    fixture f;
+    f.open("label");
+    f.begin();
+    f.events(1, 2);
+    f.failed(fetch_phase::reading);
+    REQUIRE(f.sends() == 2);
+    CHECK(f.lastSend().resumeAfter == 2);
+    f.begin();
+    f.events(2, 4);
+    CHECK(f.given() == "1;2;3;4;");
+}
+
+TEST_CASE("a broken stream that may not be begun anew is cut, so that it does not look whole")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 2);
+    f.failed(fetch_phase::reading);
+    CHECK(f.sends() == 1);
+    CHECK(f.sink.callers<give_cut>().size() == 1);
+    CHECK(f.sink.callers<give_end>().empty());
+}
+
+TEST_CASE("a run on a leaving server goes on elsewhere within the same answer")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 100);
+    const auto source = f.lastSend();
+    f.leave();
+    REQUIRE(f.sink.servers<copy_run>().size() == 1);
+    const auto bulk = f.sink.servers<copy_run>().back();
+    CHECK_FALSE(bulk.stop);
+    CHECK(bulk.source == source.server);
+    f.events(101, 110);
+    f.core.onEvent(run_copied{
+        .copyId = bulk.copyId, .outcome = copy_outcome::copied, .handle = "h1", .events = 105});
+    const auto rest = f.sink.servers<copy_run>().back();
+    CHECK(rest.stop);
+    f.failed(fetch_phase::reading);
+    f.core.onEvent(run_copied{
+        .copyId = rest.copyId, .outcome = copy_outcome::copied, .handle = "h2", .events = 110});
+    REQUIRE(f.sends() == 2);
+    CHECK(f.lastSend().serverId != source.serverId);
+    CHECK(f.lastSend().goOnFrom->handle == "h2");
+    CHECK(f.lastSend().resumeAfter == 110);
+    f.begin();
+    f.events(109, 112);
+    f.core.onEvent(stream_completed{f.lastSend().exchangeId});
+    CHECK(f.given().ends_with("110;111;112;"));
+    CHECK(f.sink.callers<give_stream>().size() == 1);
+    CHECK(f.sink.callers<give_end>().size() == 1);
+}
+
+TEST_CASE("a source that dies while its run is moved leaves the copy to go on from")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 10);
+    f.leave();
+    const auto bulk = f.sink.servers<copy_run>().back();
+    f.core.onEvent(
+        run_copied{.copyId = bulk.copyId, .outcome = copy_outcome::copied, .handle = "h1"});
+    f.failed(fetch_phase::reading);
+    CHECK(f.sends() == 1);
+    f.core.onEvent(run_copied{.copyId = f.sink.servers<copy_run>().back().copyId,
+                              .outcome = copy_outcome::failed});
+    REQUIRE(f.sends() == 2);
+    CHECK(f.lastSend().goOnFrom->handle == "h1");
+}
+
+TEST_CASE("a stopped run without room elsewhere goes on where it was")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    const auto source = f.lastSend();
+    f.leave();
+    f.core.onEvent(run_copied{.copyId = f.sink.servers<copy_run>().back().copyId,
+                              .outcome = copy_outcome::copied,
+                              .handle = "h1"});
+    f.core.onEvent(run_copied{.copyId = f.sink.servers<copy_run>().back().copyId,
+                              .outcome = copy_outcome::no_room,
+                              .handle = "h2"});
+    REQUIRE(f.sends() == 2);
+    CHECK(f.lastSend().serverId == source.serverId);
+    CHECK(f.lastSend().goOnFrom->handle == "h2");
+}
+
+TEST_CASE("a run that ends while it is copied frees the copy and is not sent again")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.leave();
+    f.core.onEvent(run_copied{.copyId = f.sink.servers<copy_run>().back().copyId,
+                              .outcome = copy_outcome::copied,
+                              .handle = "h1"});
+    f.core.onEvent(stream_completed{f.lastSend().exchangeId});
+    CHECK(f.sends() == 1);
+    REQUIRE(f.sink.servers<drop_copy>().size() == 1);
+    CHECK(f.sink.servers<drop_copy>().front().copy.handle == "h1");
+    CHECK(f.core.drained());
+}
+
+TEST_CASE("a generation is sent once its engine's reporter grants room, and elsewhere when not")
+{
+    fixture f;
+    for (const auto *id : {"i-c", "i-d"}) {
+        f.core.onReport(id, {.capacityTokens = 34'000, .listeners = 1});
+    }
+    f.open("draft");
+    CHECK(f.sends() == 0);
+    REQUIRE(f.sink.asks.size() == 1);
+    const auto full = f.sink.asks.back();
+    f.core.onRoomReply({.askId = full.askId,
+                        .verdict = room_verdict::memory_taken,
+                        .serverId = full.serverId,
+                        .report = {.capacityTokens = 34'000}});
+    REQUIRE(f.sink.asks.size() == 2);
+    const auto open = f.sink.asks.back();
+    CHECK(open.serverId != full.serverId);
+    f.core.onRoomReply({.askId = open.askId,
+                        .verdict = room_verdict::granted,
+                        .serverId = open.serverId,
+                        .report = {.capacityTokens = 34'000}});
+    REQUIRE(f.sends() == 1);
+    CHECK(f.lastSend().serverId == open.serverId);
+}
+
+TEST_CASE("a generation without room is refused early, as not run, with a time to come back")
+{
+    fixture f;
+    for (const auto *id : {"i-c", "i-d"}) {
+        f.core.onReport(id, {.usedTokens = 33'000, .capacityTokens = 34'000, .listeners = 1});
+    }
+    f.open("draft");
+    f.advance(37);
+    REQUIRE(f.sink.callers<give_failure>().size() == 1);
+    CHECK(f.sink.callers<give_failure>().front().ran == run_state::not_run);
+    CHECK(f.sink.callers<give_failure>().front().retryAfterMs);
+    CHECK(f.sends() == 0);
+}
+
+TEST_CASE("reporters that do not answer do not hold a request up")
+{
+    fixture f;
+    for (const auto *id : {"i-c", "i-d"}) {
+        f.core.onReport(id, {.capacityTokens = 34'000, .listeners = 1});
+    }
+    f.open("draft");
+    f.advance(26);
+    f.advance(26);
+    CHECK(f.sends() == 1);
+}
+
+TEST_CASE("unknown routes and keys are refused, and without a table nothing is denied")
+{
+    fixture f;
+    f.open("nowhere");
+    CHECK(f.sink.callers<give_failure>().back().reason == failure::unknown_service);
+    recorder sink;
+    server_directory directory({});
+    forwarding_core<most_room, virtual_clock_source, recorder> young(
+        {}, virtual_clock_source(&f.time), 1, directory, sink);
+    auto request = std::make_shared<forward_request>();
+    request->target = "/book/x";
+    young.onOpen({request});
+    CHECK(sink.callers<give_failure>().back().reason == failure::no_manifest);
+}
+
+TEST_CASE("a stopping process takes only what it can end")
+{
+    fixture f;
+    f.core.drain(f.time.now + 2 * US_PER_SECOND);
+    f.open("book");
+    CHECK(f.sends() == 1);
+    f.open("draft");
+    CHECK(f.sends() == 1);
+    CHECK(f.sink.callers<give_failure>().back().reason == failure::draining);
+}
--- /dev/null
+++ b/src/forwarding/tests/placementtests.cpp
@@ -0,0 +1,74 @@
+#include "forwarding/placement.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace marjoram;
+
+namespace {
+
+auto viewOf(std::string id, std::uint64_t used, std::uint32_t starting) -> server_view
+{
+    server_view view;
+    view.entry.id = std::move(id);
+    view.entry.slots = 24;
+    view.report = server_report{
+        .starting = starting, .usedTokens = used, .capacityTokens = 30'000, .listeners = 1};
+    return view;
+}
+
+} // namespace
+
+TEST_CASE("an engine without room is not chosen for new work, but may take a run that moves")
+{
+    const pool_entry pool{.name = "p",
+                          .engine = engine_traits{.slots = 24, .memoryTokens = 30'000}};
+    const std::vector<std::string> none;
+    random_source random(1);
+    const auto full = viewOf("full", 26'500, 0);
+    placement_ask ask{.pool = &pool, .avoided = &none, .generation = true, .tokensExpected = 3'000};
+    CHECK(most_room::choose(ask, {&full}, random) == nullptr);
+    ask.moving = true;
+    CHECK(most_room::choose(ask, {&full}, random) == &full);
+}
+
+TEST_CASE("prompts that wait to be read count")
+{
+    const pool_entry pool{.name = "p",
+                          .engine = engine_traits{.slots = 24, .memoryTokens = 30'000}};
+    const std::vector<std::string> none;
+    random_source random(1);
+    const auto busy = viewOf("busy", 3'000, 3);
+    const auto calm = viewOf("calm", 6'000, 0);
+    const placement_ask ask{
+        .pool = &pool, .avoided = &none, .generation = true, .tokensExpected = 3'000};
+    CHECK(most_room::choose(ask, {&busy, &calm}, random) == &calm);
+}
+
+TEST_CASE("many entries with the same view do not all choose the same engine")
+{
+    const pool_entry pool{.name = "p",
+                          .engine = engine_traits{.slots = 24, .memoryTokens = 30'000}};
+    const std::vector<std::string> none;
+    std::vector<server_view> views;
+    for (int i = 0; i < 40; ++i) {
+        views.push_back(viewOf("s" + std::to_string(i), static_cast<std::uint64_t>(i) * 200, 0));
+    }
+    std::vector<const server_view *> usable;
+    for (const auto &view : views) {
+        usable.push_back(&view);
+    }
+    random_source random(1);
+    const placement_ask ask{.pool = &pool,
+                            .avoided = &none,
+                            .generation = true,
+                            .tokensExpected = 3'000,
+                            .entries = 25};
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 200; ++i) {
+        ++chosen[most_room::choose(ask, usable, random)->entry.id];
+    }
+    for (const auto &[id, times] : chosen) {
+        CHECK(times <= 40);
+    }
+}
--- /dev/null
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -0,0 +1,131 @@
+#include "reporting/reportcore.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+
+namespace {
+
+struct recorder
+{
+    std::vector<server_report_frame> reports;
+    std::vector<room_reply_frame> replies;
+
+    auto send(const endpoint &, const frame &message) -> void
+    {
+        if (const auto *report = std::get_if<server_report_frame>(&message)) {
+            reports.push_back(*report);
+        } else {
+            replies.push_back(std::get<room_reply_frame>(message));
+        }
+    }
+};
+
+struct fixture
+{
+    virtual_clock_source::state time;
+    recorder sink;
+    report_core<virtual_clock_source, recorder> core{
+        {}, virtual_clock_source(&time), "10.0.0.1:80", sink};
+    endpoint entry{.address = "10.0.0.9", .port = 7};
+
+    auto advance(std::int64_t ms) -> void { time.now = time.now + ms * US_PER_MS; }
+    auto ask(std::string id, std::uint64_t tokens, std::uint64_t output) -> room_verdict
+    {
+        core.onRoomRequest(entry, {.requestId = std::move(id),
+                                   .expectedTokens = tokens,
+                                   .promptsAhead = 2,
+                                   .outputTokens = output});
+        return sink.replies.back().verdict;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an entry that asks hears the newest report, and reports from time to time")
+{
+    fixture f;
+    f.core.onReport({.running = 1, .capacityTokens = 100});
+    f.core.onRequest(f.entry);
+    CHECK(f.sink.reports.size() == 1);
+    f.advance(10);
+    f.core.onReport({.running = 2, .capacityTokens = 100});
+    CHECK(f.sink.reports.size() == 1);
+    f.advance(300);
+    f.core.onReport({.running = 2, .capacityTokens = 100});
+    CHECK(f.sink.reports.size() == 2);
+    CHECK(f.sink.reports.back().listeners == 1);
+}
+
+TEST_CASE("leaving is told at once and with each look, with what runs and since when")
+{
+    fixture f;
+    f.core.onRequest(f.entry);
+    f.core.onReport({.running = 1});
+    f.advance(50);
+    for (int i = 0; i < 2; ++i) {
+        f.core.onReport({.state = server_state::leaving, .leavesMs = 1'000, .runs = {{"r", 5, 1}}});
+        f.advance(30);
+    }
+    REQUIRE(f.sink.reports.size() == 3);
+    CHECK(f.sink.reports.back().runs.size() == 1);
+    CHECK(f.sink.reports.back().leavingForMs == 80);
+}
+
+TEST_CASE("a server that does not answer is told after the second look")
+{
+    fixture f;
+    f.core.onRequest(f.entry);
+    f.core.onReport({});
+    f.core.onFailed();
+    CHECK(f.sink.reports.size() == 1);
+    f.core.onFailed();
+    CHECK_FALSE(f.sink.reports.back().answering);
+}
+
+TEST_CASE("an entry that has not asked for a while gets no more reports")
+{
+    fixture f;
+    f.core.onRequest(f.entry);
+    f.core.onReport({});
+    f.advance(4'000);
+    f.core.onReport({});
+    CHECK(f.sink.reports.size() == 1);
+}
+
+TEST_CASE("the same room is not given twice, and is free again when the request does not come")
+{
+    fixture f;
+    f.core.onReport({.usedTokens = 20'000, .capacityTokens = 30'000});
+    CHECK(f.ask("a", 5'000, 1'000) == room_verdict::granted);
+    CHECK(f.ask("b", 5'000, 1'000) == room_verdict::memory_taken);
+    f.advance(1'100);
+    CHECK(f.ask("b", 5'000, 1'000) == room_verdict::granted);
+}
+
+TEST_CASE("room is no longer held for a request that the server lists")
+{
+    fixture f;
+    f.core.onReport({.capacityTokens = 30'000});
+    f.ask("a", 20'000, 1'000);
+    f.core.onReport({.usedTokens = 3'000, .capacityTokens = 30'000, .runs = {{"a", 3'000, 1}}});
+    CHECK(f.ask("b", 20'000, 1'000) == room_verdict::granted);
+}
+
+TEST_CASE("brief work may use what is kept from long work")
+{
+    fixture f;
+    f.core.onReport({.running = 8, .usedTokens = 25'000, .capacityTokens = 30'000});
+    CHECK(f.ask("long", 3'000, 1'000) == room_verdict::memory_taken);
+    CHECK(f.ask("brief", 3'000, 16) == room_verdict::granted);
+}
+
+TEST_CASE("prompts ahead, leaving and silence are reasons of their own")
+{
+    fixture f;
+    CHECK(f.ask("a", 1, 1) == room_verdict::not_answering);
+    f.core.onReport({.starting = 3, .capacityTokens = 30'000});
+    CHECK(f.ask("a", 1, 1) == room_verdict::prompts_ahead);
+    f.core.onReport({.capacityTokens = 30'000, .leavesMs = 10});
+    CHECK(f.ask("a", 1, 1) == room_verdict::leaving);
+}
