--- a/src/app/entrymain.cpp
+++ b/src/app/entrymain.cpp
@@ -88,7 +88,7 @@
     };
     const auto reload = [] { LOG(INFO) << "settings are read at the start only"; };
     const auto exitCode = runUntilStopped(
-        {}, drain, [&] { return state.drained.load(); }, reload);
+        {}, drain, [&] { return state.drained.load(); }, [] {}, reload);
     LOG(INFO) << "stopped";
     callers.stop();
     dispatch.stop();
