--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -176,7 +176,8 @@
 
     auto onEvent(server_event event) -> void
     {
-        std::visit([this](auto &&one) { on(std::forward<decltype(one)>(one)); }, std::move(event));
+        std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
+                   std::move(event));
     }
 
     // --- time
@@ -234,7 +235,9 @@
             const auto &full = request.question.full;
             avoided.insert(avoided.end(), full.begin(), full.end());
         }
-        const auto usable = m_directory.usableFor(request.pool->name, m_clock.now());
+        // Work that cannot be tried elsewhere is not risked on a server that has just failed.
+        const auto once = request.route->kind == work_kind::at_most_once;
+        const auto usable = m_directory.usableFor(request.pool->name, m_clock.now(), once);
         const auto held = request.promptTokens() + request.producedTokens();
         const auto *source = moving ? m_directory.find(request.run.serverId) : nullptr;
         const placement_ask ask{.dataCentre
--- a/src/gateway/gatewayduty.h
+++ b/src/gateway/gatewayduty.h
@@ -72,7 +72,8 @@
 
     auto handle(forward_action &&action) -> void
     {
-        std::visit([this](auto &&one) { on(std::forward<decltype(one)>(one)); }, std::move(action));
+        std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
+                   std::move(action));
     }
 
 private:
--- a/src/servers/internal/serverdirectory.cpp
+++ b/src/servers/internal/serverdirectory.cpp
@@ -107,6 +107,7 @@
 {
     if (auto *view = at(id)) {
         view->failuresInRow = 0;
+        view->onProbation = false;
         view->failureShare *= 1.0 - m_options.outcomeWeight;
         ++view->outcomes;
     }
@@ -141,11 +142,12 @@
     return found == m_views.end() ? nullptr : &found->second;
 }
 
-auto server_directory::usableFor(std::string_view pool, time_us now) const
+auto server_directory::usableFor(std::string_view pool, time_us now, bool proven) const
     -> std::vector<const server_view *>
 {
     std::vector<const server_view *> all;
     std::vector<const server_view *> healthy;
+    std::vector<const server_view *> trusted;
     for (const auto &[id, view] : m_views) {
         if (view.entry.pool != pool || view.leaving()) {
             continue;
@@ -154,6 +156,12 @@
         if (view.ejectedUntil <= now) {
             healthy.push_back(&view);
         }
+        if (view.ejectedUntil <= now && !view.onProbation) {
+            trusted.push_back(&view);
+        }
+    }
+    if (proven && !trusted.empty()) {
+        return trusted;
     }
     return healthy.empty() ? all : healthy;
 }
@@ -193,6 +201,7 @@
     view.outcomes = 0;
     view.failureShare = 0.0;
     ++view.ejections;
+    view.onProbation = true;
     return true;
 }
 
--- a/src/servers/serverdirectory.h
+++ b/src/servers/serverdirectory.h
@@ -65,9 +65,11 @@
     // --- questions
 
     auto find(std::string_view id) const -> const server_view *;
-    /// Servers of a pool that may get new work. Ejection is ignored when it would leave nobody.
-    /// Valid until the next event.
-    auto usableFor(std::string_view pool, time_us now) const -> std::vector<const server_view *>;
+    /// Servers of a pool that may get new work; with `proven` only those that have succeeded since
+    /// they were last ejected. Ejection is ignored when it would leave nobody. Valid until the next
+    /// event.
+    auto usableFor(std::string_view pool, time_us now, bool proven = false) const
+        -> std::vector<const server_view *>;
     /// Servers of a pool, whatever their state.
     auto sizeOf(std::string_view pool) const -> std::size_t;
     auto views() const -> const std::map<std::string, server_view, std::less<>> &
--- a/src/servers/serverview.h
+++ b/src/servers/serverview.h
@@ -41,6 +41,8 @@
     std::uint32_t outcomes = 0;
     std::uint32_t failuresInRow = 0;
     std::uint32_t ejections = 0;
+    /// It has been ejected and has not succeeded since.
+    bool onProbation = false;
     time_us ejectedUntil;
 
     /// Whether it may get no new work, since it goes.
--- a/src/servers/tests/serverdirectorytests.cpp
+++ b/src/servers/tests/serverdirectorytests.cpp
@@ -52,6 +52,9 @@
         CHECK_FALSE(directory.noteFailure("b", {}));
     }
     CHECK(directory.usableFor("engines", {2 * US_PER_SECOND}).size() == 3);
+    CHECK(directory.usableFor("engines", {2 * US_PER_SECOND}, true).size() == 2);
+    directory.noteSuccess("a");
+    CHECK(directory.usableFor("engines", {2 * US_PER_SECOND}, true).size() == 3);
 }
 
 TEST_CASE("a report that tells of leaving is news once")
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -138,7 +138,7 @@
 
     auto handle(server_command &&command) -> void
     {
-        std::visit([this](auto &&one) { on(std::forward<decltype(one)>(one)); },
+        std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
                    std::move(command));
     }
 
