--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -36,10 +36,12 @@
 /// Options of the directory.
 struct directory_options
 {
-    list_watch_options configuration{.waitMs = 1'500};
-    /// Servers write heartbeats all the time; a pause lets many of them come in one answer.
+    /// A watch that fell silent must be noticed before a change has to be in force.
+    list_watch_options configuration{.waitMs = 2'000};
+    /// Servers write heartbeats all the time; a pause lets many of them come in one answer. Servers
+    /// that leave must be known within two seconds.
     list_watch_options servers{
-        .pauseUs = 1 * US_PER_SECOND, .waitMs = 1'500, .doubtUs = 2 * US_PER_SECOND};
+        .pauseUs = 1'300 * US_PER_MS, .waitMs = 1'500, .doubtUs = 2 * US_PER_SECOND};
 };
 
 /// Duty that keeps what an entry reads from the users' service: the configuration in force and the
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -49,6 +49,20 @@
     std::int64_t usPerToken = 4 * US_PER_MS;
 };
 
+/// Times that are measured.
+enum class latency_kind { plain_answer, first_event, longest_pause, room_question, move };
+inline constexpr std::array latencyKindNames{
+    enum_name<latency_kind>{latency_kind::plain_answer, "plain_answer"},
+    enum_name<latency_kind>{latency_kind::first_event, "first_event"},
+    enum_name<latency_kind>{latency_kind::longest_pause, "longest_pause"},
+    enum_name<latency_kind>{latency_kind::room_question, "room_question"},
+    enum_name<latency_kind>{latency_kind::move, "move"},
+};
+constexpr auto namesOf(latency_kind) -> const auto &
+{
+    return latencyKindNames;
+}
+
 /// Takes the actions of a forwarding_core.
 template <typename S>
 concept forwarding_sink
@@ -59,6 +73,7 @@
     sink.toServer(command);
     sink.askRoom(ask_room{});
     sink.log(event, id, fields);
+    sink.observe(latency_kind::move, std::int64_t{});
 };
 
 /// An entry's decisions on requests that it sends to backend servers itself: which server, whether
@@ -164,6 +179,7 @@
         }
         endQuestion(*request);
         request->question.last = replied.verdict;
+        m_sink.observe(latency_kind::room_question, m_clock.now() - request->question.askedAt);
         if (replied.verdict == room_verdict::granted) {
             send(*request, request->question.serverId, request->question.server, std::nullopt);
             return;
@@ -265,6 +281,7 @@
     {
         m_sink.log(event, request.request->requestId, std::move(fields));
     }
+    auto observeMove(std::int64_t us) -> void { m_sink.observe(latency_kind::move, us); }
 
 private:
     enum class timer_kind { deadline, room, hedge, question, again };
@@ -382,6 +399,7 @@
     {
         request.phase = request_phase::asking;
         request.question.askId = ++m_lastAskId;
+        request.question.askedAt = m_clock.now();
         ++request.question.count;
         m_requestOfAsk.emplace(m_lastAskId, request.number);
         m_timers.set({timer_kind::question, request.number}, m_clock.now() + m_options.questionUs);
@@ -446,7 +464,7 @@
             .team = request.team,
             .deadlineMs = std::max<std::int64_t>(1, (request.deadline - now) / US_PER_MS),
             .stream = request.generation(),
-            .freshConnection = request.route->kind == work_kind::at_most_once,
+            .freshConnection = request.route->kind != work_kind::repeatable,
             .urgency = request.engine() ? std::optional(request.urgency) : std::nullopt,
             .resumeAfter = resumes ? std::optional(request.lastEvent) : std::nullopt,
             .goOnFrom = copy});
@@ -543,6 +561,7 @@
             {{"server", request.run.serverId},
              {"status", static_cast<std::int64_t>(status)},
              {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
+        m_sink.observe(latency_kind::plain_answer, m_clock.now() - request.openedAt);
         toCaller(request, give_answer{.callerId = request.callerId,
                                       .status = status,
                                       .headers = std::move(answered.head.headers),
@@ -593,6 +612,7 @@
         const auto now = m_clock.now();
         if (request.firstEventUs == 0) {
             request.firstEventUs = now - request.openedAt;
+            m_sink.observe(latency_kind::first_event, request.firstEventUs);
         } else {
             request.longestPauseUs = std::max(request.longestPauseUs, now - request.lastEventAt);
         }
@@ -614,6 +634,7 @@
              {"longest_pause_ms", request->longestPauseUs / US_PER_MS},
              {"moves", static_cast<std::int64_t>(request->moves)},
              {"took_ms", (m_clock.now() - request->openedAt) / US_PER_MS}});
+        m_sink.observe(latency_kind::longest_pause, request->longestPauseUs);
         toCaller(*request, give_end{.callerId = request->callerId});
         close(*request);
     }
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -4,6 +4,7 @@
 #include "forwarding/forwardingcore.h"
 #include "forwarding/forwardrings.h"
 #include "framework/metrics/metricset.h"
+#include "framework/metrics/quantiles.h"
 
 #include <memory>
 
@@ -41,6 +42,24 @@
     return forwardingMetricNames;
 }
 
+/// Quantiles of the times that are measured, in milliseconds. Thread safe.
+class forwarding_latencies
+{
+public:
+    auto at(latency_kind kind) -> quantiles & { return m_times[static_cast<std::size_t>(kind)]; }
+    /// Appends all as Prometheus summaries.
+    auto render(std::string &out) const -> void
+    {
+        for (const auto &row : namesOf(latency_kind{})) {
+            const auto label = "kind=\"" + std::string(row.name) + "\"";
+            m_times[static_cast<std::size_t>(row.value)].render(out, "latency_ms", label);
+        }
+    }
+
+private:
+    std::array<quantiles, latencyKindNames.size()> m_times;
+};
+
 /// Duty that decides on requests which the entry sends to backend servers itself.
 class forwarding_duty
 {
@@ -59,6 +78,8 @@
     auto stopTaking() -> void;
     /// Thread safe.
     auto metrics() const -> const metric_set<forwarding_metric> & { return m_metrics; }
+    /// Thread safe.
+    auto latencies() const -> const forwarding_latencies & { return m_latencies; }
 
     // --- called by ring readers on the duty's thread
 
@@ -71,6 +92,7 @@
     struct impl;
 
     metric_set<forwarding_metric> m_metrics;
+    forwarding_latencies m_latencies;
     std::unique_ptr<impl> m_impl;
 };
 
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -164,8 +164,6 @@
     std::optional<std::uint32_t> urgency;
     std::optional<std::uint64_t> resumeAfter;
     std::optional<held_copy> goOnFrom;
-    /// Server that is to keep a standing copy of the generation's memory.
-    std::optional<endpoint> copyTo;
 };
 /// Ends an exchange; nothing more is heard of it.
 struct cancel_forward
@@ -201,8 +199,6 @@
     bool notRun = false;
     /// The server at this address is not the one that was meant.
     bool otherServer = false;
-    /// The server closes its connection, which it does when it leaves, and at other times.
-    bool closes = false;
     std::optional<load_note> load;
 };
 
@@ -255,8 +251,6 @@
     copy_outcome outcome = copy_outcome::failed;
     /// Names the copy; given also when a stopped run has no room elsewhere.
     std::string handle;
-    /// Events made so far.
-    std::uint64_t events = 0;
 };
 using server_event = std::variant<server_answered, stream_begun, stream_advanced, stream_completed,
                                   exchange_failed, run_copied>;
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -19,9 +19,11 @@
     using core_type = forwarding_core<most_room, system_clock_source, impl>;
 
     impl(forwarding_options options, forward_rings &rings, log_writer lines, process_state &shared,
-         metric_set<forwarding_metric> &numbers, forwarding_duty &outer)
+         metric_set<forwarding_metric> &numbers, forwarding_latencies &times,
+         forwarding_duty &outer)
         : state(shared)
         , metrics(numbers)
+        , latencies(times)
         , writer(lines)
         , callerActions(worker.context(), rings.toCallers, BACKLOG_LIMIT)
         , serverCommands(worker.context(), rings.toServers, BACKLOG_LIMIT)
@@ -66,6 +68,10 @@
     {
         writer.write(event, id, std::move(fields));
     }
+    auto observe(latency_kind kind, std::int64_t us) -> void
+    {
+        latencies.at(kind).record(static_cast<double>(us) / US_PER_MS);
+    }
     auto count(const forward_action &action) -> void
     {
         if (std::holds_alternative<give_answer>(action)
@@ -128,6 +134,7 @@
 
     process_state &state;
     metric_set<forwarding_metric> &metrics;
+    forwarding_latencies &latencies;
     log_writer writer;
     system_clock_source clock;
     duty worker{"forwarding"};
@@ -146,7 +153,8 @@
 
 forwarding_duty::forwarding_duty(forwarding_options options, forward_rings &rings, log_writer log,
                                  process_state &state)
-    : m_impl(std::make_unique<impl>(std::move(options), rings, log, state, m_metrics, *this))
+    : m_impl(std::make_unique<impl>(std::move(options), rings, log, state, m_metrics, m_latencies,
+                                    *this))
 { }
 
 forwarding_duty::~forwarding_duty()
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -73,6 +73,7 @@
 struct room_question
 {
     std::uint64_t askId = 0;
+    time_us askedAt;
     std::string serverId;
     endpoint server;
     /// Questions since the request last waited.
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -34,6 +34,7 @@
     host.toServer(command);
     host.goOnAt(request, id, copy);
     host.log(event, request, fields);
+    host.observeMove(std::int64_t{});
     {
         host.findRequest(std::uint64_t{})
         } -> std::same_as<request_state *>;
@@ -301,6 +302,7 @@
     {
         const held_copy copy{.source = request.run.server, .handle = request.move->handle};
         const auto targetId = request.move->targetId;
+        const auto took = m_clock.now() - request.move->startedAt;
         m_timers.cancel(request.number);
         m_requestOf.erase(request.move->copyId);
         m_directory.noteEnded(targetId, request.move->tokens);
@@ -310,11 +312,12 @@
                     {"events", static_cast<std::int64_t>(request.lastEvent)},
                     {"bulk_ms", (request.move->copiedAt - request.move->startedAt) / US_PER_MS},
                     {"stopped_ms", (m_clock.now() - request.move->stopAt) / US_PER_MS},
-                    {"took_ms", (m_clock.now() - request.move->startedAt) / US_PER_MS}});
+                    {"took_ms", took / US_PER_MS}});
         request.move.reset();
         request.unplannedSince.reset();
         noteLeft(request);
         ++request.moves;
+        m_host.observeMove(took);
         m_host.goOnAt(request, targetId, copy);
     }
     run_mover_options m_options;
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -17,6 +17,7 @@
     auto toServer(server_command command) -> void { toServers.push_back(std::move(command)); }
     auto askRoom(ask_room ask) -> void { asks.push_back(std::move(ask)); }
     auto log(log_event, const std::string &, std::vector<log_field>) -> void { }
+    auto observe(latency_kind, std::int64_t) -> void { }
 
     template <typename T>
     auto callers() const -> std::vector<T>
@@ -275,13 +276,13 @@
     CHECK_FALSE(bulk.stop);
     CHECK(bulk.source == source.server);
     f.events(101, 110);
-    f.core.onEvent(run_copied{
-        .copyId = bulk.copyId, .outcome = copy_outcome::copied, .handle = "h1", .events = 105});
+    f.core.onEvent(
+        run_copied{.copyId = bulk.copyId, .outcome = copy_outcome::copied, .handle = "h1"});
     const auto rest = f.sink.servers<copy_run>().back();
     CHECK(rest.stop);
     f.failed(fetch_phase::reading);
-    f.core.onEvent(run_copied{
-        .copyId = rest.copyId, .outcome = copy_outcome::copied, .handle = "h2", .events = 110});
+    f.core.onEvent(
+        run_copied{.copyId = rest.copyId, .outcome = copy_outcome::copied, .handle = "h2"});
     REQUIRE(f.sends() == 2);
     CHECK(f.lastSend().serverId != source.serverId);
     CHECK(f.lastSend().goOnFrom->handle == "h2");
--- a/src/manifest/routetable.h
+++ b/src/manifest/routetable.h
@@ -66,8 +66,6 @@
     double linkMbps = 0.0;
     /// Whether a running generation's memory can be copied to another engine.
     bool moves = false;
-    /// Whether an engine can keep a standing copy of another's generation.
-    bool copies = false;
     std::uint32_t tokensPerEvent = 1;
 };
 
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -98,7 +98,7 @@
     /// Idle time after which a connection is closed where the server names none.
     std::int64_t idleMs = 3'000;
     /// A connection is closed this long before the server would close it.
-    std::int64_t idleMarginMs = 1'000;
+    std::int64_t idleMarginMs = 400;
     /// Idle time up to which a connection counts as fresh.
     std::int64_t freshMs = 500;
     /// Time for an order to copy.
