Forwarding split: admission, placing, moving and the life of a request apart

forwarding_core had grown to 920 lines. request_admission, request_placer and forwarding_options leave 650; serverviews takes the name of what it holds.

--- a/src/directory/feed.h
+++ b/src/directory/feed.h
@@ -3,7 +3,7 @@
 #include "directory/listwatch.h"
 #include "framework/global/result.h"
 #include "manifest/routetable.h"
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 #include <string>
 
--- a/src/forwarding/evacuationplan.h
+++ b/src/forwarding/evacuationplan.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "framework/global/clock.h"
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 #include <string>
 #include <string_view>
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "forwarding/forwardrings.h"
-#include "forwarding/runmover.h"
-#include "limits/lengthestimator.h"
-#include "limits/retrywindow.h"
+#include "forwarding/forwardingoptions.h"
+#include "forwarding/requestadmission.h"
+#include "forwarding/requestplacer.h"
 
 #include <algorithm>
 #include <map>
@@ -11,71 +10,6 @@
 
 namespace marjoram {
 
-/// Options of the forwarding of requests.
-struct forwarding_options
-{
-    std::string dataCentre;
-    retry_window_options retries;
-    run_mover_options moves;
-    /// Longest wait of a generation for room, as a share of its latency target: beyond an eighth
-    /// a caller is better served by coming back.
-    double waitShare = 0.12;
-    /// Pause before a waiting request tries again; each is drawn from the range.
-    std::int64_t leastAgainUs = 30 * US_PER_MS;
-    std::int64_t mostAgainUs = 90 * US_PER_MS;
-    /// Reporters that are asked in a row before the request waits.
-    std::uint32_t questions = 4;
-    /// Time for a reporter to answer, and answers missed after which a request is sent unasked.
-    std::int64_t questionUs = 25 * US_PER_MS;
-    std::uint32_t unanswered = 2;
-    /// Silence after which a server counts as having no reporter.
-    std::int64_t reporterUs = 1 * US_PER_SECOND;
-    /// Time to read a prompt between the tokens of others, and the share of a latency target that
-    /// may pass with reading the prompts of others.
-    std::int64_t promptUs = 350 * US_PER_MS;
-    double promptShare = 0.6;
-    /// Sends of one request, those included that a server refused to run.
-    std::uint32_t mostSends = 3;
-    /// Requests open at once.
-    std::size_t requestLimit = 8'000;
-    /// Pause after which refused callers are asked to come back; each is drawn from the range.
-    std::int64_t leastRetryMs = 400;
-    std::int64_t mostRetryMs = 1'200;
-    /// Time after which a repeatable call is tried elsewhere, in latency targets.
-    double hedgeTargets = 2.0;
-    /// Share of the output limit that a generation is expected to use without an estimate.
-    double assumedOutputShare = 0.5;
-    /// Time of one output token, for whether a generation can end before the process does.
-    std::int64_t usPerToken = 4 * US_PER_MS;
-};
-
-/// Times that are measured.
-enum class latency_kind { plain_answer, first_event, longest_pause, room_question, move };
-inline constexpr std::array latencyKindNames{
-    enum_name<latency_kind>{latency_kind::plain_answer, "plain_answer"},
-    enum_name<latency_kind>{latency_kind::first_event, "first_event"},
-    enum_name<latency_kind>{latency_kind::longest_pause, "longest_pause"},
-    enum_name<latency_kind>{latency_kind::room_question, "room_question"},
-    enum_name<latency_kind>{latency_kind::move, "move"},
-};
-constexpr auto namesOf(latency_kind) -> const auto &
-{
-    return latencyKindNames;
-}
-
-/// Takes the actions of a forwarding_core.
-template <typename S>
-concept forwarding_sink
-    = requires(S &sink, forward_action action, server_command command, log_event event,
-               const std::string &id, std::vector<log_field> fields)
-{
-    sink.toCaller(action);
-    sink.toServer(command);
-    sink.askRoom(ask_room{});
-    sink.log(event, id, fields);
-    sink.observe(latency_kind::move, std::int64_t{});
-};
-
 /// An entry's decisions on requests that it sends to backend servers itself: which server, whether
 /// once more, what the caller is told, and when a running generation moves.
 /// Not thread safe: belongs to one duty.
@@ -91,6 +25,8 @@
         , m_random(seed)
         , m_directory(directory)
         , m_sink(sink)
+        , m_admission(m_options, seed + 2)
+        , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
     {
         static_assert(forwarding_sink<Sink>);
@@ -99,7 +35,7 @@
 
     // --- configuration and servers
 
-    auto onTable(route_table_ptr table) -> void { m_table = std::move(table); }
+    auto onTable(route_table_ptr table) -> void { m_admission.setTable(std::move(table)); }
     auto onServers(const std::vector<server_entry> &entries) -> void
     {
         const auto changes = m_directory.onServers(entries, m_clock.now());
@@ -121,7 +57,7 @@
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
-        m_entries = std::max<std::uint32_t>(1, report.listeners);
+        m_placer.setEntries(std::max<std::uint32_t>(1, report.listeners));
         const auto news = m_directory.onReport(id, std::move(report), m_clock.now());
         const auto *view = m_directory.find(id);
         if (view && view->leaving()) {
@@ -134,7 +70,7 @@
         }
     }
     /// Refuses work from now on that would not end before the process does. Idempotent.
-    auto drain(time_us stopAt) -> void { m_stopAt = stopAt; }
+    auto drain(time_us stopAt) -> void { m_admission.setStop(stopAt); }
     auto drained() const -> bool { return m_requests.empty(); }
     auto open() const -> std::size_t { return m_requests.size(); }
 
@@ -143,12 +79,12 @@
     auto onOpen(const open_forward &opened) -> void
     {
         const auto &asked = *opened.request;
-        const auto refused = refusalOf(asked);
+        const auto refused = m_admission.refusalOf(asked, m_requests.size(), m_clock.now());
         if (refused != failure::none) {
             refuse(asked.callerId, asked.requestId, refused, retryMs());
             return;
         }
-        placeOrWait(admit(opened.request));
+        m_placer.placeOrWait(admit(opened.request));
     }
     auto onCallerLeft(std::uint64_t callerId) -> void
     {
@@ -172,20 +108,7 @@
     auto onRoomReply(room_replied replied) -> void
     {
         onReport(replied.serverId, std::move(replied.report));
-        const auto found = m_requestOfAsk.find(replied.askId);
-        auto *request = found == m_requestOfAsk.end() ? nullptr : findRequest(found->second);
-        if (!request) {
-            return;
-        }
-        endQuestion(*request);
-        request->question.last = replied.verdict;
-        m_sink.observe(latency_kind::room_question, m_clock.now() - request->question.askedAt);
-        if (replied.verdict == room_verdict::granted) {
-            send(*request, request->question.serverId, request->question.server, std::nullopt);
-            return;
-        }
-        request->question.full.push_back(replied.serverId);
-        placeOrWait(*request);
+        m_placer.onRoomReply(replied);
     }
 
     // --- backend servers
@@ -200,13 +123,12 @@
 
     auto nextTimer() const -> std::optional<time_us>
     {
-        const auto own = m_timers.next();
-        const auto moves = m_mover.nextTimer();
-        return own && moves ? std::min(*own, *moves) : (own ? own : moves);
+        return earliest(m_timers.next(), earliest(m_placer.nextTimer(), m_mover.nextTimer()));
     }
     auto onTimer() -> void
     {
         m_mover.onTimer();
+        m_placer.onTimer();
         while (const auto key = m_timers.popDue(m_clock.now())) {
             auto *request = findRequest(key->number);
             if (!request) {
@@ -216,229 +138,31 @@
             case timer_kind::deadline:
                 onDeadline(*request);
                 break;
-            case timer_kind::room:
-                onNoRoom(*request);
-                break;
             case timer_kind::hedge:
                 onSlow(*request);
                 break;
-            case timer_kind::question:
-                onUnanswered(*request);
-                break;
-            case timer_kind::again:
-                request->question = {};
-                placeOrWait(*request);
-                break;
             }
         }
     }
 
-    // --- asked by the mover
+    // --- asked by the placer and the mover
 
-    auto findRequest(std::uint64_t number) -> request_state *
-    {
-        const auto found = m_requests.find(number);
-        return found == m_requests.end() ? nullptr : found->second.get();
-    }
-    auto toServer(server_command command) -> void { m_sink.toServer(std::move(command)); }
-    /// Server with room for a request; for a move of a running one, its own server is left out.
+    auto askRoom(ask_room ask) -> void { m_sink.askRoom(std::move(ask)); }
+    auto observe(latency_kind kind, std::int64_t us) -> void { m_sink.observe(kind, us); }
     auto roomFor(const request_state &request, bool moving) -> const server_view *
     {
-        auto avoided = moving ? request.fullTargets : request.avoided;
-        if (moving) {
-            avoided.push_back(request.run.serverId);
-        } else {
-            const auto &full = request.question.full;
-            avoided.insert(avoided.end(), full.begin(), full.end());
-        }
-        // Work that cannot be tried elsewhere is not risked on a server that has just failed.
-        const auto once = request.route->kind == work_kind::at_most_once;
-        const auto usable = m_directory.usableFor(request.pool->name, m_clock.now(), once);
-        const auto held = request.promptTokens() + request.producedTokens();
-        const auto *source = moving ? m_directory.find(request.run.serverId) : nullptr;
-        const placement_ask ask{.dataCentre
-                                = source ? source->entry.dataCentre : m_options.dataCentre,
-                                .pool = request.pool,
-                                .avoided = &avoided,
-                                .generation = request.generation(),
-                                .moving = moving,
-                                .urgency = request.urgency,
-                                .tokensNow = held,
-                                .tokensExpected = moving ? held : expectedTokens(request),
-                                .entries = m_entries,
-                                .now = m_clock.now()};
-        return Placement::choose(ask, usable, m_random);
-    }
-    /// Goes on with a run from a copy of its memory.
-    auto goOnAt(request_state &request, const std::string &serverId, const held_copy &copy) -> void
-    {
-        cancelRun(request);
-        const auto *view = m_directory.find(serverId);
-        const auto server = view ? view->entry.address : copy.source;
-        send(request, serverId, server, copy);
-    }
-    auto log(log_event event, const request_state &request, std::vector<log_field> fields) -> void
-    {
-        m_sink.log(event, request.request->requestId, std::move(fields));
-    }
-    auto observeMove(std::int64_t us) -> void { m_sink.observe(latency_kind::move, us); }
-
-private:
-    enum class timer_kind { deadline, room, hedge, question, again };
-    struct timer_key
-    {
-        timer_kind kind;
-        std::uint64_t number;
-        friend auto operator<=>(const timer_key &, const timer_key &)
-            -> std::strong_ordering = default;
-    };
-
-    // --- opening
-
-    auto refusalOf(const forward_request &asked) const -> failure
-    {
-        if (!m_table) {
-            return failure::no_manifest;
-        }
-        const auto *route = m_table->findRoute(asked.host, asked.path());
-        if (!route) {
-            return failure::unknown_service;
-        }
-        const auto keyed = m_table->content().keyed && !route->open;
-        if (keyed && !m_table->findTeam(asked.key)) {
-            return failure::unauthenticated;
-        }
-        if (m_stopAt && m_clock.now() + durationUs(*route, asked) > *m_stopAt) {
-            return failure::draining;
-        }
-        return m_requests.size() >= m_options.requestLimit ? failure::overloaded : failure::none;
-    }
-    /// Time that a request may well take.
-    auto durationUs(const route_entry &route, const forward_request &asked) const -> std::int64_t
-    {
-        const auto &ask = asked.generation;
-        const auto output = route.kind == work_kind::generation
-                                ? ask.outputEstimate.value_or(ask.mostOutputTokens)
-                                : 0;
-        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
-    }
-    auto admit(const forward_request_ptr &asked) -> request_state &
-    {
-        const auto now = m_clock.now();
-        auto state = std::make_unique<request_state>();
-        auto &request = *state;
-        request.number = ++m_lastNumber;
-        request.callerId = asked->callerId;
-        request.request = asked;
-        request.table = m_table;
-        request.route = m_table->findRoute(asked->host, asked->path());
-        request.pool = m_table->findPool(drawPool(*request.route));
-        request.urgency = request.route->urgency;
-        const auto keyed = m_table->content().keyed && !request.route->open;
-        if (const auto *team = keyed ? m_table->findTeam(asked->key) : nullptr) {
-            request.team = team->name;
-            request.urgency = team->urgency.value_or(request.urgency);
-        }
-        request.lastEvent = asked->generation.resumeAfter.value_or(0);
-        request.openedAt = now;
-        const auto patience = asked->patienceMs.value_or(request.route->timeoutMs);
-        request.deadline = now + std::min(patience, request.route->timeoutMs) * US_PER_MS;
-        m_timers.set({timer_kind::deadline, request.number}, request.deadline);
-        m_requestOfCaller.insert_or_assign(asked->callerId, request.number);
-        m_requests.emplace(request.number, std::move(state));
-        if (request.pool) {
-            retriesOf(*request.pool).noteFresh(now);
-        }
-        return request;
-    }
-    auto drawPool(const route_entry &route) -> std::string
-    {
-        std::uint64_t all = 0;
-        for (const auto &share : route.pools) {
-            all += share.weight;
-        }
-        auto drawn = all > 0 ? m_random() % all : 0;
-        for (const auto &share : route.pools) {
-            if (drawn < share.weight) {
-                return share.pool;
-            }
-            drawn -= share.weight;
-        }
-        return {};
-    }
-
-    // --- placing
-
-    auto placeOrWait(request_state &request) -> void
-    {
-        if (!place(request)) {
-            wait(request);
-        }
-    }
-    /// Sends the request, or asks a reporter for room; false when no server seems to have room.
-    auto place(request_state &request) -> bool
-    {
-        auto &question = request.question;
-        const auto *view = request.pool && question.count < m_options.questions
-                               ? roomFor(request, false)
-                               : nullptr;
-        if (!view) {
-            return false;
-        }
-        question.serverId = view->entry.id;
-        question.server = view->entry.address;
-        const auto reports = view->report && m_clock.now() - view->reportAt < m_options.reporterUs;
-        if (!request.generation() || !reports || question.unanswered >= m_options.unanswered) {
-            send(request, std::string(question.serverId), endpoint(question.server), std::nullopt);
-        } else {
-            ask(request);
-        }
-        return true;
-    }
-    auto ask(request_state &request) -> void
-    {
-        request.phase = request_phase::asking;
-        request.question.askId = ++m_lastAskId;
-        request.question.askedAt = m_clock.now();
-        ++request.question.count;
-        m_requestOfAsk.emplace(m_lastAskId, request.number);
-        m_timers.set({timer_kind::question, request.number}, m_clock.now() + m_options.questionUs);
-        m_sink.askRoom({.askId = m_lastAskId,
-                        .serverId = request.question.serverId,
-                        .requestId = request.request->requestId,
-                        .expectedTokens = expectedTokens(request),
-                        .outputTokens = expectedTokens(request) - request.promptTokens(),
-                        .promptsAhead = promptsAllowed(request)});
-    }
-    /// Prompts that may be read before this one without missing the latency target.
-    auto promptsAllowed(const request_state &request) const -> std::uint32_t
-    {
-        const auto us = static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
-        return static_cast<std::uint32_t>(us * m_options.promptShare
-                                          / static_cast<double>(m_options.promptUs));
-    }
-    auto endQuestion(request_state &request) -> void
-    {
-        m_requestOfAsk.erase(request.question.askId);
-        m_timers.cancel({timer_kind::question, request.number});
-    }
-    auto onUnanswered(request_state &request) -> void
-    {
-        endQuestion(request);
-        ++request.question.unanswered;
-        placeOrWait(request);
+        return m_placer.roomFor(request, moving);
     }
     auto send(request_state &request, const std::string &serverId, const endpoint &server,
               const std::optional<held_copy> &copy) -> void
     {
         const auto now = m_clock.now();
-        m_timers.cancel({timer_kind::room, request.number});
-        m_timers.cancel({timer_kind::again, request.number});
+        m_placer.forget(request);
         request.phase = request.streamGiven ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
                        .serverId = serverId,
                        .server = server,
-                       .tokens = request.generation() ? expectedTokens(request) : 0,
+                       .tokens = request.generation() ? m_placer.expectedTokens(request) : 0,
                        .goesOn = copy.has_value(),
                        .sentAt = now};
         ++request.sends;
@@ -474,52 +198,69 @@
             m_timers.set({timer_kind::hedge, request.number}, now + static_cast<std::int64_t>(us));
         }
     }
-    auto reportAgeMs(const server_view *view) const -> std::int64_t
+    auto onNoRoom(request_state &request) -> void
     {
-        return view && view->report ? (m_clock.now() - view->reportAt) / US_PER_MS : -1;
+        const auto reason = m_directory.sizeOf(request.pool ? request.pool->name : "") == 0
+                                ? failure::no_backend_server
+                                : failure::overloaded;
+        failRequest(request, reason,
+                    request.attempts > 0 ? run_state::unknown : run_state::not_run);
     }
-    auto expectedTokens(const request_state &request) const -> std::uint64_t
+    auto findRequest(std::uint64_t number) -> request_state *
     {
-        const auto &ask = request.request->generation;
-        const auto share = static_cast<double>(ask.mostOutputTokens) * m_options.assumedOutputShare;
-        const auto output = std::min(ask.outputEstimate.value_or(static_cast<std::uint32_t>(share)),
-                                     ask.mostOutputTokens);
-        return ask.promptTokens + std::max(output, request.producedTokens());
+        const auto found = m_requests.find(number);
+        return found == m_requests.end() ? nullptr : found->second.get();
     }
-    /// Keeps the request until there is room, for a short time; entries try again at random times,
-    /// so that not all of them ask at once when room appears.
-    auto wait(request_state &request) -> void
+    auto toServer(server_command command) -> void { m_sink.toServer(std::move(command)); }
+    /// Goes on with a run from a copy of its memory.
+    auto goOnAt(request_state &request, const std::string &serverId, const held_copy &copy) -> void
+    {
+        cancelRun(request);
+        const auto *view = m_directory.find(serverId);
+        const auto server = view ? view->entry.address : copy.source;
+        send(request, serverId, server, copy);
+    }
+    auto log(log_event event, const request_state &request, std::vector<log_field> fields) -> void
+    {
+        m_sink.log(event, request.request->requestId, std::move(fields));
+    }
+    auto observeMove(std::int64_t us) -> void { observe(latency_kind::move, us); }
+
+private:
+    enum class timer_kind { deadline, hedge };
+    struct timer_key
+    {
+        timer_kind kind;
+        std::uint64_t number;
+        friend auto operator<=>(const timer_key &, const timer_key &)
+            -> std::strong_ordering = default;
+    };
+
+    static auto earliest(std::optional<time_us> a, std::optional<time_us> b)
+        -> std::optional<time_us>
+    {
+        return a && b ? std::min(*a, *b) : (a ? a : b);
+    }
+
+    // --- opening
+
+    auto admit(const forward_request_ptr &asked) -> request_state &
     {
         const auto now = m_clock.now();
-        request.phase = request_phase::waiting;
-        if (!request.waitUntil) {
-            const auto us = m_options.waitShare
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
-            request.waitUntil = now + static_cast<std::int64_t>(us);
-            log(log_event::request_waiting, request,
-                {{"route", request.route->name},
-                 {"questions", static_cast<std::int64_t>(request.question.count)},
-                 {"room", std::string(nameOf(request.question.last))}});
-        }
-        if (now >= *request.waitUntil) {
-            onNoRoom(request);
-            return;
+        auto state = m_admission.admit(asked, ++m_lastNumber, now);
+        auto &request = *state;
+        m_timers.set({timer_kind::deadline, request.number}, request.deadline);
+        m_requestOfCaller.insert_or_assign(asked->callerId, request.number);
+        m_requests.emplace(request.number, std::move(state));
+        if (request.pool) {
+            retriesOf(*request.pool).noteFresh(now);
         }
-        m_timers.set({timer_kind::room, request.number}, *request.waitUntil);
-        const auto width
-            = static_cast<std::uint64_t>(m_options.mostAgainUs - m_options.leastAgainUs);
-        m_timers.set({timer_kind::again, request.number},
-                     now + m_options.leastAgainUs + static_cast<std::int64_t>(m_random() % width));
+        return request;
     }
-    auto onNoRoom(request_state &request) -> void
+    auto reportAgeMs(const server_view *view) const -> std::int64_t
     {
-        const auto reason = m_directory.sizeOf(request.pool ? request.pool->name : "") == 0
-                                ? failure::no_backend_server
-                                : failure::overloaded;
-        failRequest(request, reason,
-                    request.attempts > 0 ? run_state::unknown : run_state::not_run);
+        return view && view->report ? (m_clock.now() - view->reportAt) / US_PER_MS : -1;
     }
-
     // --- answers
 
     auto on(server_answered &&answered) -> void
@@ -696,8 +437,7 @@
             failRequest(request, failure::overloaded, ran);
             return;
         }
-        request.question = {};
-        placeOrWait(request);
+        m_placer.placeAnew(request);
     }
     auto mayRepeat(const request_state &request) const -> bool
     {
@@ -715,8 +455,7 @@
                 {{"cause", std::string(cause)}, {"outcome", std::string("budget_spent")}});
             return false;
         }
-        request.question = {};
-        placeOrWait(request);
+        m_placer.placeAnew(request);
         return true;
     }
 
@@ -748,7 +487,7 @@
         request.avoided.push_back(request.run.serverId);
         log(log_event::request_retried, request,
             {{"server", request.run.serverId}, {"cause", std::string("slow")}});
-        placeOrWait(request);
+        m_placer.placeAnew(request);
     }
 
     // --- servers
@@ -764,7 +503,8 @@
     }
     auto planEvacuation(const server_view &source) -> void
     {
-        const auto *pool = m_table ? m_table->findPool(source.entry.pool) : nullptr;
+        const auto &table = m_admission.table();
+        const auto *pool = table ? table->findPool(source.entry.pool) : nullptr;
         if (!pool || !pool->engine || !pool->engine->moves) {
             return;
         }
@@ -876,9 +616,7 @@
         m_mover.abandon(request);
         cancelRun(request);
         m_timers.cancel({timer_kind::deadline, request.number});
-        m_timers.cancel({timer_kind::room, request.number});
-        m_timers.cancel({timer_kind::again, request.number});
-        endQuestion(request);
+        m_placer.forget(request);
         const auto caller = m_requestOfCaller.find(request.callerId);
         if (caller != m_requestOfCaller.end() && caller->second == request.number) {
             m_requestOfCaller.erase(caller);
@@ -900,21 +638,16 @@
     random_source m_random;
     server_directory &m_directory;
     Sink &m_sink;
+    request_admission m_admission;
+    request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
-    route_table_ptr m_table;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfExchange;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfAsk;
     std::map<std::string, retry_window> m_retries;
     timer_queue<timer_key> m_timers;
-    /// Entries that hear the same reports, as the last one told.
-    std::uint32_t m_entries = 1;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
-    std::uint64_t m_lastAskId = 0;
-    /// When the process ends, once it has been told to.
-    std::optional<time_us> m_stopAt;
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -3,7 +3,7 @@
 #include "forwarding/forwardtypes.h"
 #include "framework/ring/ring.h"
 #include "innerprotocol/reportframes.h"
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 namespace marjoram {
 
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -4,7 +4,7 @@
 #include "framework/http/eventsplitter.h"
 #include "framework/http/httptypes.h"
 #include "manifest/routetable.h"
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -3,7 +3,7 @@
 #include "framework/global/identifiers.h"
 #include "limits/kvforecast.h"
 #include "manifest/routetable.h"
-#include "servers/serverview.h"
+#include "serverviews/serverview.h"
 
 #include <algorithm>
 #include <string>
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -5,7 +5,7 @@
 #include "forwarding/requeststate.h"
 #include "framework/eventlog/eventlog.h"
 #include "framework/global/timerqueue.h"
-#include "servers/serverdirectory.h"
+#include "serverviews/serverdirectory.h"
 
 #include <unordered_map>
 
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 #include <cstdint>
 #include <string>
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -3,7 +3,7 @@
 #include "framework/global/clock.h"
 #include "framework/http/httptypes.h"
 #include "innerprotocol/frames.h"
-#include "servers/serverentry.h"
+#include "serverviews/serverentry.h"
 
 #include <map>
 #include <optional>
--- a/src/servers/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "servers/serverview.h"
+#include "serverviews/serverview.h"
 
 #include <map>
 #include <string>
--- a/src/servers/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -1,4 +1,4 @@
-#include "servers/serverdirectory.h"
+#include "serverviews/serverdirectory.h"
 
 #include <doctest/doctest.h>
 
