The retry budget is shared by the entries that reporters count

Now the slack is divided by the number of entries that listen to reports, and by 32 until one is heard.

--- /dev/null
+++ b/src/forwarding/entrycount.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "framework/global/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace marjoram {
+
+/// Number of entries, as reporters tell how many listen to them. The largest number of late counts:
+/// a reporter behind a partition hears few. Not thread safe.
+class entry_count
+{
+public:
+    explicit entry_count(std::uint32_t assumed)
+        : m_count(std::max<std::uint32_t>(1, assumed))
+    { }
+    auto onReport(std::uint32_t listeners, time_us now) -> void
+    {
+        if (listeners == 0) {
+            return;
+        }
+        const auto first = !m_heard;
+        m_heard = true;
+        if (first || listeners >= m_count || now - m_at > MEMORY_US) {
+            m_count = listeners;
+            m_at = now;
+        }
+    }
+    auto count() const -> std::uint32_t { return m_count; }
+
+private:
+    /// As long as the window over which retries are counted.
+    static constexpr std::int64_t MEMORY_US = 10 * US_PER_SECOND;
+
+    std::uint32_t m_count;
+    bool m_heard = false;
+    time_us m_at;
+};
+
+} // namespace marjoram
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/entrycount.h"
 #include "forwarding/forwardingoptions.h"
 #include "forwarding/requestadmission.h"
 #include "forwarding/requestplacer.h"
@@ -25,6 +26,7 @@
         , m_random(seed)
         , m_directory(directory)
         , m_sink(sink)
+        , m_entries(m_options.entriesAssumed)
         , m_admission(m_options, seed + 2)
         , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
@@ -57,7 +59,8 @@
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
-        m_placer.setEntries(std::max<std::uint32_t>(1, report.listeners));
+        m_entries.onReport(report.listeners, m_clock.now());
+        m_placer.setEntries(m_entries.count());
         const auto news = m_directory.onReport(id, std::move(report), m_clock.now());
         const auto *view = m_directory.find(id);
         if (view && view->leaving()) {
@@ -431,8 +434,9 @@
             return;
         }
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
-        const auto allowed = request.sends < m_options.mostSends
-                             && (!arrived || retriesOf(*request.pool).tryTake(m_clock.now()));
+        const auto allowed
+            = request.sends < m_options.mostSends
+              && (!arrived || retriesOf(*request.pool).tryTake(m_clock.now(), m_entries.count()));
         if (!allowed) {
             failRequest(request, failure::overloaded, ran);
             return;
@@ -450,7 +454,7 @@
     auto retry(request_state &request, std::string_view cause) -> bool
     {
         request.avoided.push_back(request.run.serverId);
-        if (!retriesOf(*request.pool).tryTake(m_clock.now())) {
+        if (!retriesOf(*request.pool).tryTake(m_clock.now(), m_entries.count())) {
             log(log_event::request_retried, request,
                 {{"cause", std::string(cause)}, {"outcome", std::string("budget_spent")}});
             return false;
@@ -478,7 +482,7 @@
         ++request.attempts;
         if (!mayRepeat(request)
             || m_directory.usableFor(request.pool->name, m_clock.now()).size() < 2
-            || !retriesOf(*request.pool).tryTake(m_clock.now())) {
+            || !retriesOf(*request.pool).tryTake(m_clock.now(), m_entries.count())) {
             --request.attempts;
             return;
         }
@@ -638,6 +642,7 @@
     random_source m_random;
     server_directory &m_directory;
     Sink &m_sink;
+    entry_count m_entries;
     request_admission m_admission;
     request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -11,6 +11,8 @@
 {
     std::string dataCentre;
     retry_window_options retries;
+    /// Entries that share the budget of retries until reports tell how many there are.
+    std::uint32_t entriesAssumed = 32;
     run_mover_options moves;
     /// Longest wait of a generation for room, as a share of its latency target: beyond an eighth
     /// a caller is better served by coming back.
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -89,7 +89,7 @@
     server_directory directory{{}};
     recorder sink;
     forwarding_core<most_room, virtual_clock_source, recorder> core{
-        {.dataCentre = "d"}, virtual_clock_source(&time), 1, directory, sink};
+        {.dataCentre = "d", .entriesAssumed = 1}, virtual_clock_source(&time), 1, directory, sink};
     std::uint64_t lastCaller = 0;
 
     fixture()
--- a/src/forwarding/tests/placementtests.cpp
+++ b/src/forwarding/tests/placementtests.cpp
@@ -1,3 +1,4 @@
+#include "forwarding/entrycount.h"
 #include "forwarding/placement.h"
 
 #include <doctest/doctest.h>
@@ -72,3 +73,15 @@
         CHECK(times <= 40);
     }
 }
+
+TEST_CASE("entries are counted by the most that any reporter has heard of late")
+{
+    entry_count entries(32);
+    CHECK(entries.count() == 32);
+    entries.onReport(4, {0});
+    entries.onReport(25, {1'000});
+    entries.onReport(1, {2'000});
+    CHECK(entries.count() == 25);
+    entries.onReport(3, {11 * US_PER_SECOND});
+    CHECK(entries.count() == 3);
+}
--- a/src/limits/retrywindow.h
+++ b/src/limits/retrywindow.h
@@ -11,7 +11,7 @@
 {
     double ratio = 0.2;
     std::int64_t windowUs = 10 * US_PER_SECOND;
-    /// Repeats allowed beyond the ratio.
+    /// Repeats allowed beyond the ratio, by all processes together.
     double slack = 10.0;
 };
 
@@ -28,12 +28,13 @@
         forget(now);
         m_fresh.push_back(now);
     }
-    /// Takes one repeat; false when the budget is spent.
-    auto tryTake(time_us now) -> bool
+    /// Takes one repeat; false when this process's share of the budget is spent. Precondition:
+    /// processes > 0.
+    auto tryTake(time_us now, std::uint32_t processes) -> bool
     {
         forget(now);
         const auto allowed
-            = m_options.slack + m_options.ratio * static_cast<double>(m_fresh.size());
+            = m_options.slack / processes + m_options.ratio * static_cast<double>(m_fresh.size());
         if (static_cast<double>(m_repeats.size() + 1) > allowed) {
             return false;
         }
