--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -166,8 +166,7 @@
                        .serverId = serverId,
                        .server = server,
                        .tokens = request.generation() ? m_placer.expectedTokens(request) : 0,
-                       .goesOn = copy.has_value(),
-                       .sentAt = now};
+                       .goesOn = copy.has_value()};
         ++request.sends;
         m_requestOfExchange.emplace(request.run.exchangeId, request.number);
         m_directory.noteSent(serverId, request.run.tokens);
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -21,9 +21,7 @@
     bool generation = false;
     /// Whether it runs elsewhere and moves; a copy between data centres takes twice the time.
     bool moving = false;
-    std::uint32_t urgency = 0;
-    /// Memory it needs at the start, and is expected to need at the end.
-    std::uint64_t tokensNow = 0;
+    /// Memory it is expected to need, in tokens.
     std::uint64_t tokensExpected = 0;
     /// Entries that choose by the same reports.
     std::uint32_t entries = 1;
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -107,8 +107,6 @@
                                 .avoided = &avoided,
                                 .generation = request.generation(),
                                 .moving = moving,
-                                .urgency = request.urgency,
-                                .tokensNow = held,
                                 .tokensExpected = moving ? held : expectedTokens(request),
                                 .entries = m_entries,
                                 .now = m_clock.now()};
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -66,7 +66,6 @@
     std::uint64_t tokens = 0;
     /// Goes on from a copy of an earlier run's memory, so that it is the same run.
     bool goesOn = false;
-    time_us sentAt;
 };
 
 /// Question to a reporter whether there is room for a request.
