Reporters announce servers that have just started

Ruled out: moves (no change in their number), lapsed entries (already doubted for 2 s), the four entries that were restarted. Change: a reporter that sees its server start asks it who it is and tells entries that the platform names; an entry passes the first such news on by way of two reporters to all entries. An announced server is used while its reporter is heard, must appear in the published list within 2.5 s once that is there, and cannot be announced again after it was removed.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -42,9 +42,7 @@
     {
         const auto changes = m_directory.onServers(entries, m_clock.now());
         for (const auto &id : changes.joined) {
-            const auto &entry = m_directory.find(id)->entry;
-            m_sink.log(log_event::server_joined, {},
-                       {{"server", id}, {"pool", entry.pool}, {"address", toText(entry.address)}});
+            logJoined(m_directory.find(id)->entry, "published");
         }
         for (const auto &id : changes.leaving) {
             onLeaving(id, "published");
@@ -57,6 +55,12 @@
             m_mover.onServerGone(id);
         }
     }
+    auto onAnnounced(const server_entry &entry) -> void
+    {
+        if (m_directory.onAnnounced(entry, m_clock.now())) {
+            logJoined(entry, "announced");
+        }
+    }
     auto onReport(const std::string &id, server_report report) -> void
     {
         m_entries.onReport(report.listeners, m_clock.now());
@@ -495,6 +499,14 @@
 
     // --- servers
 
+    auto logJoined(const server_entry &entry, std::string_view source) -> void
+    {
+        m_sink.log(log_event::server_joined, {},
+                   {{"server", entry.id},
+                    {"source", std::string(source)},
+                    {"pool", entry.pool},
+                    {"address", toText(entry.address)}});
+    }
     auto onLeaving(const std::string &id, std::string_view source) -> void
     {
         const auto *view = m_directory.find(id);
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -31,7 +31,12 @@
     std::string serverId;
     server_report report;
 };
-using report_event = std::variant<server_reported, room_replied>;
+/// A backend server has started, as its reporter says; the published list may not show it yet.
+struct server_announced
+{
+    server_entry entry;
+};
+using report_event = std::variant<server_reported, room_replied, server_announced>;
 
 using directory_event = std::variant<table_changed, servers_changed>;
 
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -214,8 +214,10 @@
 {
     if (auto *reported = std::get_if<server_reported>(&event)) {
         m_impl->core.onReport(reported->serverId, std::move(reported->report));
+    } else if (auto *replied = std::get_if<room_replied>(&event)) {
+        m_impl->core.onRoomReply(std::move(*replied));
     } else {
-        m_impl->core.onRoomReply(std::get<room_replied>(std::move(event)));
+        m_impl->core.onAnnounced(std::get<server_announced>(event).entry);
     }
     m_impl->settle();
 }
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -68,6 +68,33 @@
     }
 };
 
+/// Reporter to entry, then from entry to entry by way of other reporters: a backend server has
+/// started, which the published list may not show yet.
+struct server_news_frame
+{
+    std::string id;
+    std::string pool;
+    std::string dataCentre;
+    /// IP:PORT of the backend server.
+    std::string server;
+    std::uint32_t slots = 0;
+    std::int64_t bornUnixMs = 0;
+    /// Times it has been passed on.
+    std::uint32_t relays = 0;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.id);
+        visit(self.pool);
+        visit(self.dataCentre);
+        visit(self.server);
+        visit(self.slots);
+        visit(self.bornUnixMs);
+        visit(self.relays);
+    }
+};
+
 /// Entry to reporter: whether a generation may be sent to the backend server now.
 struct room_request_frame
 {
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -3,8 +3,11 @@
 #include "framework/ring/ringends.h"
 #include "reporting/datagramsocket.h"
 
+#include "framework/global/identifiers.h"
+
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <set>
 #include <unordered_map>
 
 namespace marjoram {
@@ -13,6 +16,13 @@
 
 /// A report older than what the decisions have is worth nothing, so that few need to wait.
 constexpr std::size_t BACKLOG_LIMIT = 4'096;
+/// Announcements that are remembered, so that each is passed on once.
+constexpr std::size_t NEWS_LIMIT = 4'096;
+/// Reporters by way of which an announcement reaches all other entries; a second one is there for
+/// datagrams that get lost.
+constexpr std::size_t RELAYS = 2;
+/// An announcement goes from a reporter to an entry, to another reporter, to all entries.
+constexpr std::uint32_t MOST_RELAYS = 2;
 
 auto reportOf(const server_report_frame &frame) -> server_report
 {
@@ -43,6 +53,8 @@
         std::uint64_t sequence = 0;
         std::uint32_t vain = 0;
         std::optional<time_us> unlistedAt;
+        /// Known from its reporter alone.
+        bool announced = false;
     };
 
     impl(reports_options given, forward_rings &rings, metric_set<reports_metric> &numbers,
@@ -82,7 +94,8 @@
                 continue;
             }
             state.unlistedAt = state.unlistedAt.value_or(now);
-            if (now - *state.unlistedAt < options.keepUnlistedUs) {
+            const auto heard = state.announced && state.vain < options.vainRequests;
+            if (heard || now - *state.unlistedAt < options.keepUnlistedUs) {
                 kept.emplace(address, std::move(state));
             }
         }
@@ -94,6 +107,48 @@
             onReport(*report);
         } else if (const auto *reply = std::get_if<room_reply_frame>(&message)) {
             onRoomReply(*reply);
+        } else if (auto *news = std::get_if<server_news_frame>(&message)) {
+            onNews(std::move(*news));
+        }
+    }
+    auto onNews(server_news_frame news) -> void
+    {
+        const auto where = parseEndpoint(news.server);
+        if (!where || news.id.empty() || !heardNews.insert({news.id, news.bornUnixMs}).second) {
+            return;
+        }
+        if (heardNews.size() > NEWS_LIMIT) {
+            heardNews.clear();
+        }
+        metrics.add(reports_metric::servers_announced);
+        if (news.relays < MOST_RELAYS) {
+            passOn(news);
+        }
+        if (!reporters.contains(news.server)) {
+            reporter_state state{.serverId = news.id,
+                                 .bornUnixMs = news.bornUnixMs,
+                                 .reporter
+                                 = {.address = where->address, .port = options.reporterPort},
+                                 .announced = true};
+            ask(state);
+            reporters.emplace(news.server, std::move(state));
+        }
+        reports.push(server_announced{.entry = {.id = std::move(news.id),
+                                                .pool = std::move(news.pool),
+                                                .address = *where,
+                                                .dataCentre = std::move(news.dataCentre),
+                                                .slots = news.slots,
+                                                .bornUnixMs = news.bornUnixMs}});
+    }
+    auto passOn(server_news_frame news) -> void
+    {
+        ++news.relays;
+        if (reporters.empty()) {
+            return;
+        }
+        for (std::size_t sent = 0; sent < RELAYS; ++sent) {
+            const auto step = static_cast<std::ptrdiff_t>(random() % reporters.size());
+            socket.send(std::next(reporters.begin(), step)->second.reporter, news);
         }
     }
     auto onRoomReply(const room_reply_frame &reply) -> void
@@ -179,6 +234,9 @@
     /// By the server's address.
     std::unordered_map<std::string, reporter_state> reporters;
     std::uint64_t round = 0;
+    random_source random{systemSeed()};
+    /// Ids and starts of the servers that were announced.
+    std::set<std::pair<std::string, std::int64_t>> heardNews;
 };
 
 reports_duty::reports_duty(reports_options options, forward_rings &rings)
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -8,12 +8,27 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace marjoram {
 
 /// Options of reporting on one backend server.
 struct report_options
 {
+    /// Pool and data centre of the backend server.
+    std::string pool;
+    std::string dataCentre;
+    /// Some entries, which may be gone; they hear of a server that has started.
+    std::vector<endpoint> entries;
+    /// Time between two announcements of a server, and for which it is announced: each entry
+    /// passes the first one on, the others are for those that were lost.
+    std::int64_t announceUs = 300 * US_PER_MS;
+    std::int64_t announceForUs = 4 * US_PER_SECOND;
+    /// Age up to which the first server seen counts as just started: a reporter that is started
+    /// again must not announce a server that may be about to go.
+    std::int64_t youngMs = 3'000;
+    /// Pause before a server is asked again who it is.
+    std::int64_t identityAgainUs = 1 * US_PER_SECOND;
     /// Time between two looks at the backend server; each is free from its own host.
     std::int64_t lookUs = 80 * US_PER_MS;
     /// The same while the backend server leaves, when entries act on every change.
@@ -46,8 +61,9 @@
 
 /// Decides when entries hear of a backend server: at once when it leaves, is lost or is started
 /// anew, or when the prompts change that it has to read, otherwise from time to time. A leaving or
-/// lost server is told with each look, since datagrams get lost. Not thread safe: belongs to one
-/// duty.
+/// lost server is told with each look, since datagrams get lost. A server that has started is
+/// announced, since the published list shows it late, and not at all while the service that
+/// publishes it is away. Not thread safe: belongs to one duty.
 template <clock_source Clock, typename Sink>
 class report_core
 {
@@ -89,9 +105,31 @@
         m_sink.send(
             from, room_reply_frame{.askId = asked.askId, .verdict = verdict, .report = numbered()});
     }
+    /// An entry passes on that some other server has started.
+    auto onNews(server_news_frame news) -> void
+    {
+        ++news.relays;
+        for (const auto &[key, listener] : m_listeners) {
+            m_sink.send(listener.where, news);
+        }
+    }
+    /// Whether the server has to be asked who it is, for it to be announced.
+    auto wantsIdentity() const -> bool
+    {
+        return m_announceUntil && !m_identity && !m_options.entries.empty()
+               && m_clock.now() >= m_identityAt;
+    }
+    /// The server has said who it is, or nothing of use.
+    auto onIdentity(std::optional<server_identity> identity) -> void
+    {
+        m_identity = std::move(identity);
+        m_identityAt = m_clock.now() + m_options.identityAgainUs;
+        announce();
+    }
     auto onReport(const server_report &seen) -> void
     {
         const auto news = !m_report.answering || m_report.bornUnixMs != seen.bornUnixMs;
+        noteStarted(seen);
         m_report.answering = true;
         m_report.leaving = seen.state == server_state::leaving;
         m_report.leavesKnown = seen.leavesMs.has_value();
@@ -111,6 +149,7 @@
         m_looked = true;
         const auto queue = m_report.starting + m_report.waiting;
         publish(news || m_report.leaving || m_report.leavesKnown || queue != m_queueTold);
+        announce();
     }
     /// Time until the next look.
     auto nextLookUs() const -> std::int64_t
@@ -140,6 +179,37 @@
         time_us at;
     };
 
+    /// Takes note of a server that has just started, of which entries may not know.
+    auto noteStarted(const server_report &seen) -> void
+    {
+        const auto before = std::exchange(m_bornSeen, seen.bornUnixMs);
+        if (before == seen.bornUnixMs) {
+            return;
+        }
+        const auto ageMs = std::abs(m_clock.unixMs() - seen.bornUnixMs);
+        m_identity.reset();
+        m_announceUntil.reset();
+        if (before || ageMs < m_options.youngMs) {
+            m_announceUntil = m_clock.now() + m_options.announceForUs;
+        }
+    }
+    auto announce() -> void
+    {
+        const auto now = m_clock.now();
+        const auto leaving = m_report.leaving || m_report.leavesKnown;
+        const auto due = m_announceUntil && now < *m_announceUntil && now >= m_announceAt;
+        if (!due || !m_identity || leaving || !m_report.answering) {
+            return;
+        }
+        m_announceAt = now + m_options.announceUs;
+        const auto &to = m_options.entries[m_announced++ % m_options.entries.size()];
+        m_sink.send(to, server_news_frame{.id = m_identity->id,
+                                          .pool = m_options.pool,
+                                          .dataCentre = m_options.dataCentre,
+                                          .server = m_report.server,
+                                          .slots = m_identity->slots,
+                                          .bornUnixMs = m_report.bornUnixMs});
+    }
     auto noteLeaving(const server_report &seen) -> void
     {
         const auto now = m_clock.now();
@@ -220,6 +290,14 @@
     /// Prompts to be read at the last report.
     std::uint32_t m_queueTold = 0;
     time_us m_sentAt{INT64_MIN / 2};
+    /// Start of the newest process seen.
+    std::optional<std::int64_t> m_bornSeen;
+    /// Set while the server counts as just started.
+    std::optional<time_us> m_announceUntil;
+    time_us m_announceAt;
+    std::uint64_t m_announced = 0;
+    std::optional<server_identity> m_identity;
+    time_us m_identityAt;
 };
 
 } // namespace marjoram
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -14,7 +14,8 @@
 
 /// Translates a backend server's account of itself.
 template <typename C>
-concept report_codec = requires(const endpoint &server, std::string_view body)
+concept report_codec
+    = requires(const endpoint &server, const channel_head &head, std::string_view body)
 {
     {
         C::reportRequest(server)
@@ -22,8 +23,25 @@
     {
         C::decodeReport(body)
         } -> std::same_as<result<server_report>>;
+    {
+        C::identityRequest(server)
+        } -> std::same_as<http_request>;
+    {
+        C::decodeIdentity(head)
+        } -> std::same_as<std::optional<server_identity>>;
 };
 
+/// What a reporter asks its backend server.
+enum class reporter_question { report, identity };
+inline constexpr std::array reporterQuestionNames{
+    enum_name<reporter_question>{reporter_question::report, "report"},
+    enum_name<reporter_question>{reporter_question::identity, "identity"},
+};
+constexpr auto namesOf(reporter_question) -> const auto &
+{
+    return reporterQuestionNames;
+}
+
 /// Options of a reporter.
 struct reporter_options
 {
@@ -73,9 +91,17 @@
             m_core.onRequest(from);
         } else if (const auto *asked = std::get_if<room_request_frame>(&message)) {
             m_core.onRoomRequest(from, *asked);
+        } else if (const auto *news = std::get_if<server_news_frame>(&message)) {
+            m_core.onNews(*news);
+        }
+    }
+    auto onHead(channel &, const channel_head &head) -> head_verdict
+    {
+        if (m_question == reporter_question::identity) {
+            m_identity = Codec::decodeIdentity(head);
         }
+        return head_verdict::take;
     }
-    auto onHead(channel &, const channel_head &) -> head_verdict { return head_verdict::take; }
     auto onBody(channel &, std::string_view bytes) -> void
     {
         if (m_body.size() < BODY_LIMIT_BYTES) {
@@ -89,6 +115,10 @@
         } else {
             m_channel.reset();
         }
+        if (m_question == reporter_question::identity) {
+            tellIdentity(outcome.error);
+            return;
+        }
         const auto report
             = outcome.error ? result<server_report>(outcome.error) : Codec::decodeReport(m_body);
         tell(report);
@@ -102,6 +132,9 @@
     {
         m_body.clear();
         m_answered = false;
+        m_question
+            = m_core.wantsIdentity() ? reporter_question::identity : reporter_question::report;
+        m_identity.reset();
         if (!m_channel) {
             const std::chrono::milliseconds limit(m_options.answerTimeoutMs);
             m_channel = std::make_shared<channel>(
@@ -110,7 +143,9 @@
         }
         after(m_options.answerTimeoutMs * US_PER_MS, [this] { onOverdue(); });
         const auto connection = m_channel;
-        connection->start(Codec::reportRequest(m_options.server));
+        connection->start(m_question == reporter_question::identity
+                              ? Codec::identityRequest(m_options.server)
+                              : Codec::reportRequest(m_options.server));
     }
     auto onOverdue() -> void
     {
@@ -118,7 +153,20 @@
             m_channel->close();
             m_channel.reset();
         }
-        tell(make_error_code(std::errc::timed_out));
+        const auto error = make_error_code(std::errc::timed_out);
+        m_question == reporter_question::identity ? tellIdentity(error) : tell(error);
+    }
+    auto tellIdentity(std::error_code error) -> void
+    {
+        if (std::exchange(m_answered, true)) {
+            return;
+        }
+        if (!m_identity) {
+            m_log.write(log_event::server_unnamed,
+                        {{"server", toText(m_options.server)}, {"error", error.message()}});
+        }
+        m_core.onIdentity(std::move(m_identity));
+        after(m_core.nextLookUs(), [this] { look(); });
     }
     auto tell(const result<server_report> &report) -> void
     {
@@ -154,6 +202,8 @@
     report_core<system_clock_source, reporter_duty> m_core;
     std::shared_ptr<channel> m_channel;
     std::string m_body;
+    reporter_question m_question = reporter_question::report;
+    std::optional<server_identity> m_identity;
     bool m_answered = false;
     bool m_lost = false;
 };
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -10,11 +10,12 @@
 namespace marjoram {
 
 /// Numbers of the reports that an entry hears.
-enum class reports_metric { reports_heard, reports_stale, report_requests };
+enum class reports_metric { reports_heard, reports_stale, report_requests, servers_announced };
 inline constexpr std::array reportsMetricNames{
     enum_name<reports_metric>{reports_metric::reports_heard, "server_reports_heard"},
     enum_name<reports_metric>{reports_metric::reports_stale, "server_reports_stale"},
     enum_name<reports_metric>{reports_metric::report_requests, "server_report_requests"},
+    enum_name<reports_metric>{reports_metric::servers_announced, "servers_announced"},
 };
 constexpr auto namesOf(reports_metric) -> const auto &
 {
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -10,11 +10,14 @@
 {
     std::vector<server_report_frame> reports;
     std::vector<room_reply_frame> replies;
+    std::vector<std::pair<endpoint, server_news_frame>> news;
 
-    auto send(const endpoint &, const frame &message) -> void
+    auto send(const endpoint &to, const frame &message) -> void
     {
         if (const auto *report = std::get_if<server_report_frame>(&message)) {
             reports.push_back(*report);
+        } else if (const auto *one = std::get_if<server_news_frame>(&message)) {
+            news.emplace_back(to, *one);
         } else {
             replies.push_back(std::get<room_reply_frame>(message));
         }
@@ -26,7 +29,10 @@
     virtual_clock_source::state time;
     recorder sink;
     report_core<virtual_clock_source, recorder> core{
-        {}, virtual_clock_source(&time), "10.0.0.1:80", sink};
+        {.pool = "engines", .entries = {{"10.0.0.2", 7}, {"10.0.0.3", 7}}},
+        virtual_clock_source(&time),
+        "10.0.0.1:80",
+        sink};
     endpoint entry{.address = "10.0.0.9", .port = 7};
 
     auto advance(std::int64_t ms) -> void { time.now = time.now + ms * US_PER_MS; }
@@ -129,3 +135,58 @@
     f.core.onReport({.capacityTokens = 30'000, .leavesMs = 10});
     CHECK(f.ask("a", 1, 1) == room_verdict::leaving);
 }
+
+TEST_CASE("a server that has just started is asked who it is and announced to entry after entry")
+{
+    fixture f;
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    CHECK(f.core.wantsIdentity());
+    f.core.onIdentity(server_identity{.id = "s", .slots = 24});
+    CHECK_FALSE(f.core.wantsIdentity());
+    REQUIRE(f.sink.news.size() == 1);
+    CHECK(f.sink.news[0].second.server == "10.0.0.1:80");
+    CHECK(f.sink.news[0].second.pool == "engines");
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    CHECK(f.sink.news.size() == 1);
+    f.advance(400);
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    REQUIRE(f.sink.news.size() == 2);
+    CHECK(f.sink.news[0].first != f.sink.news[1].first);
+    f.advance(5'000);
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    CHECK(f.sink.news.size() == 2);
+}
+
+TEST_CASE("a reporter that finds an old server does not announce it, but a successor")
+{
+    fixture f;
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs - 10'000});
+    CHECK_FALSE(f.core.wantsIdentity());
+    f.advance(60'000);
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs + 50'000});
+    CHECK(f.core.wantsIdentity());
+}
+
+TEST_CASE("a server that leaves is not announced, and one that does not say who it is neither")
+{
+    fixture f;
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    f.core.onIdentity(std::nullopt);
+    CHECK(f.sink.news.empty());
+    CHECK_FALSE(f.core.wantsIdentity());
+    f.advance(1'500);
+    CHECK(f.core.wantsIdentity());
+    f.core.onReport({.state = server_state::leaving, .bornUnixMs = f.time.unixStartMs});
+    f.core.onIdentity(server_identity{.id = "s"});
+    CHECK(f.sink.news.empty());
+}
+
+TEST_CASE("news of another server reach the entries that listen")
+{
+    fixture f;
+    f.core.onRequest(f.entry);
+    f.core.onNews({.id = "other", .relays = 1});
+    REQUIRE(f.sink.news.size() == 1);
+    CHECK(f.sink.news[0].first == f.entry);
+    CHECK(f.sink.news[0].second.relays == 2);
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -31,6 +31,8 @@
         const auto wasLeaving = view.leaving();
         view.entry = entry;
         view.unlistedAt.reset();
+        view.announced = false;
+        view.missedSince.reset();
         view.publishedLeaving = entry.state == server_state::leaving;
         if (!known) {
             out.joined.push_back(entry.id);
@@ -41,6 +43,10 @@
         kept.emplace(entry.id, std::move(view));
     }
     for (auto &[id, view] : m_views) {
+        if (stillAwaited(view, now)) {
+            kept.emplace(id, std::move(view));
+            continue;
+        }
         if (!view.unlistedAt) {
             view.unlistedAt = now;
             out.unlisted.push_back(id);
@@ -52,9 +58,21 @@
         }
     }
     m_views = std::move(kept);
+    rememberGone(out.gone, now);
     return out;
 }
 
+auto server_directory::onAnnounced(const server_entry &entry, time_us now) -> bool
+{
+    if (m_views.contains(entry.id) || m_gone.contains(entry.id)) {
+        return false;
+    }
+    auto view = freshView(entry, now);
+    view.announced = true;
+    m_views.emplace(entry.id, std::move(view));
+    return true;
+}
+
 auto server_directory::onReport(const std::string &id, server_report report, time_us now) -> bool
 {
     auto *view = at(id);
@@ -149,7 +167,7 @@
     std::vector<const server_view *> healthy;
     std::vector<const server_view *> trusted;
     for (const auto &[id, view] : m_views) {
-        if (view.entry.pool != pool || view.leaving()) {
+        if (view.entry.pool != pool || !usable(view, now)) {
             continue;
         }
         all.push_back(&view);
@@ -179,6 +197,31 @@
     return found == m_views.end() ? nullptr : &found->second;
 }
 
+/// Whether a server that was announced may yet appear in the published list.
+auto server_directory::stillAwaited(server_view &view, time_us now) const -> bool
+{
+    if (!view.announced) {
+        return false;
+    }
+    view.missedSince = view.missedSince.value_or(now);
+    return now - *view.missedSince < m_options.listedWithinUs;
+}
+
+auto server_directory::usable(const server_view &view, time_us now) const -> bool
+{
+    const auto silent = !view.report || now - view.reportAt > m_options.announcedSilenceUs;
+    return !view.leaving() && !(view.announced && silent);
+}
+
+auto server_directory::rememberGone(const std::vector<std::string> &gone, time_us now) -> void
+{
+    std::erase_if(m_gone,
+                  [&](const auto &named) { return now - named.second > m_options.rememberGoneUs; });
+    for (const auto &id : gone) {
+        m_gone.insert_or_assign(id, now);
+    }
+}
+
 auto server_directory::mayEject(const server_view &view, time_us now) const -> bool
 {
     std::size_t ejected = 1;
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -25,6 +25,13 @@
     double mostEjectedShare = 0.34;
     /// Time for which a server is remembered that is no longer listed.
     std::int64_t keepUnlistedUs = 6 * US_PER_SECOND;
+    /// Time in which a server that its reporter has announced must appear in the published list;
+    /// servers write their entry every second or so.
+    std::int64_t listedWithinUs = 2'500 * US_PER_MS;
+    /// Silence after which an announced server is not used.
+    std::int64_t announcedSilenceUs = 1 * US_PER_SECOND;
+    /// Time for which a forgotten server cannot be announced again.
+    std::int64_t rememberGoneUs = 60 * US_PER_SECOND;
 };
 
 /// How a published list differs from the one before it.
@@ -51,6 +58,8 @@
 
     /// Takes the whole published list.
     auto onServers(const std::vector<server_entry> &entries, time_us now) -> server_changes;
+    /// Takes a server that its reporter has announced; false when it is known or has been.
+    auto onAnnounced(const server_entry &entry, time_us now) -> bool;
     /// Takes a server's own account; true when it tells for the first time that it leaves.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
     auto onLoad(const std::string &id, const load_note &load, time_us now) -> void;
@@ -79,11 +88,15 @@
 
 private:
     auto at(const std::string &id) -> server_view *;
+    auto stillAwaited(server_view &view, time_us now) const -> bool;
+    auto usable(const server_view &view, time_us now) const -> bool;
+    auto rememberGone(const std::vector<std::string> &gone, time_us now) -> void;
     auto mayEject(const server_view &view, time_us now) const -> bool;
     auto eject(server_view &view, time_us now) const -> bool;
 
     server_directory_options m_options;
     std::map<std::string, server_view, std::less<>> m_views;
+    std::map<std::string, time_us> m_gone;
 };
 
 } // namespace marjoram
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -39,6 +39,13 @@
     friend auto operator==(const server_entry &, const server_entry &) -> bool = default;
 };
 
+/// Who a backend server is, as it says itself.
+struct server_identity
+{
+    std::string id;
+    std::uint32_t slots = 0;
+};
+
 /// A generation on an engine, as the engine tells it.
 struct server_run
 {
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -17,6 +17,10 @@
     /// The published entry, or the server itself, says that it leaves.
     bool publishedLeaving = false;
     bool reportedLeaving = false;
+    /// It is known from its reporter alone, and the published list has not shown it yet.
+    bool announced = false;
+    /// Since when a published list is there that does not show it.
+    std::optional<time_us> missedSince;
     /// When its entry was removed; it may serve on for a while what it has.
     std::optional<time_us> unlistedAt;
     /// When it is expected to be gone; only while leaving().
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -65,3 +65,40 @@
     CHECK_FALSE(directory.onReport("a", {.leavesMs = 1'400}, {}));
     CHECK(directory.find("a")->goneAt == time_us{1'400'000});
 }
+
+TEST_CASE("an announced server is used while it reports, and kept once the list shows it")
+{
+    server_directory directory({});
+    CHECK(directory.onAnnounced(entryOf("a"), {}));
+    CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
+    CHECK(directory.usableFor("engines", {}).empty());
+    directory.onReport("a", {}, {});
+    CHECK(directory.usableFor("engines", {}).size() == 1);
+    CHECK(directory.usableFor("engines", {2 * US_PER_SECOND}).empty());
+    CHECK(directory.onServers({}, {2 * US_PER_SECOND}).unlisted.empty());
+    directory.onReport("a", {}, {3 * US_PER_SECOND});
+    CHECK(directory.onServers({entryOf("a")}, {3 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableFor("engines", {9 * US_PER_SECOND}).size() == 1);
+}
+
+TEST_CASE("an announced server that no list shows in time is taken as gone, for good")
+{
+    server_directory directory({});
+    directory.onAnnounced(entryOf("a"), {});
+    directory.onReport("a", {}, {});
+    CHECK(directory.onServers({}, {}).unlisted.empty());
+    CHECK(directory.onServers({}, {3 * US_PER_SECOND}).unlisted.size() == 1);
+    directory.onReport("a", {}, {3 * US_PER_SECOND});
+    CHECK(directory.usableFor("engines", {3 * US_PER_SECOND}).empty());
+    CHECK(directory.onServers({}, {10 * US_PER_SECOND}).gone.size() == 1);
+    CHECK_FALSE(directory.onAnnounced(entryOf("a"), {11 * US_PER_SECOND}));
+}
+
+TEST_CASE("a server that was listed and removed is not taken back because it is announced")
+{
+    server_directory directory({});
+    directory.onServers({entryOf("a")}, {});
+    directory.onServers({}, {});
+    CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
+    CHECK(directory.usableFor("engines", {}).empty());
+}
