Reporters say whose turn it is to leave, and whether a link is free

Of 103 moves with a stop over 150 ms, 99 overlapped another copy from the same server and 72 one to the same target; without an overlap 62 of 63 stops were short. The common plan could not know what a move really took, and nothing kept two sources from one target. Ruled out: stale reports, the order of the runs, the time until the leaving is noticed. Change: the reporter of a leaving server gives one run its turn at a time and passes it on when the entry says that the copy is complete; the reporter of the target grants its link to one run at a time. The plan that all entries made for themselves goes. A run that certainly ends in time stays; one whose target refuses it goes on at its source.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -52,7 +52,6 @@
         }
         for (const auto &id : changes.gone) {
             m_sink.log(log_event::server_gone, {}, {{"server", id}});
-            m_mover.onServerGone(id);
         }
     }
     auto onAnnounced(const server_entry &entry) -> void
@@ -67,9 +66,6 @@
         m_placer.setEntries(m_entries.count());
         const auto news = m_directory.onReport(id, std::move(report), m_clock.now());
         const auto *view = m_directory.find(id);
-        if (view && view->leaving()) {
-            planEvacuation(*view);
-        }
         if (news) {
             onLeaving(id, "reported");
         } else if (view && view->leaving()) {
@@ -116,6 +112,7 @@
     {
         onReport(replied.serverId, std::move(replied.report));
         m_placer.onRoomReply(replied);
+        m_mover.onRoomReply(replied);
     }
 
     // --- backend servers
@@ -154,7 +151,8 @@
 
     // --- asked by the placer and the mover
 
-    auto askRoom(ask_room ask) -> void { m_sink.askRoom(std::move(ask)); }
+    auto toReporter(reporter_command command) -> void { m_sink.toReporter(std::move(command)); }
+    auto nextAskId() -> std::uint64_t { return ++m_lastAskId; }
     auto observe(latency_kind kind, std::int64_t us) -> void { m_sink.observe(kind, us); }
     auto roomFor(const request_state &request, bool moving) -> const server_view *
     {
@@ -170,7 +168,7 @@
                        .serverId = serverId,
                        .server = server,
                        .tokens = request.generation() ? m_placer.expectedTokens(request) : 0,
-                       .goesOn = copy.has_value()};
+                       .copy = copy};
         ++request.sends;
         m_requestOfExchange.emplace(request.run.exchangeId, request.number);
         m_directory.noteSent(serverId, request.run.tokens);
@@ -322,7 +320,7 @@
             return;
         }
         noteHead(*request, begun.head);
-        request->attempts += request->run.goesOn ? 0 : 1;
+        request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
         if (!std::exchange(request->streamGiven, true)) {
             toCaller(*request, give_stream{.callerId = request->callerId,
@@ -422,12 +420,24 @@
             m_directory.noteImpostor(id, m_clock.now());
         }
         request.avoided.push_back(id);
-        if (request.streamGiven) {
-            cut(request, failure::backend_server_lost);
+        if (goOnAtSource(request)) {
             return;
         }
         retryUnrun(request, true);
     }
+    /// The server that made a copy keeps the memory: it goes on with the run where the target does
+    /// not. False when there is no such server.
+    auto goOnAtSource(request_state &request) -> bool
+    {
+        const auto copy = request.run.copy;
+        const auto elsewhere = copy && copy->sourceId != request.run.serverId;
+        if (!elsewhere || !m_directory.find(copy->sourceId)) {
+            return false;
+        }
+        request.fullTargets.push_back(request.run.serverId);
+        goOnAt(request, copy->sourceId, *copy);
+        return true;
+    }
     /// Sends a request again that no server has run; an arrival that a server refused counts
     /// against the budget, a connection that could not be made does not.
     auto retryUnrun(request_state &request, bool arrived) -> void
@@ -516,17 +526,6 @@
                    {{"server", id}, {"source", std::string(source)}, {"gone_in_ms", leavesMs}});
         moveRunsOf(id);
     }
-    auto planEvacuation(const server_view &source) -> void
-    {
-        const auto &table = m_admission.table();
-        const auto *pool = table ? table->findPool(source.entry.pool) : nullptr;
-        if (!pool || !pool->engine || !pool->engine->moves) {
-            return;
-        }
-        constexpr double BITS_PER_BYTE = 8.0;
-        const auto bits = static_cast<double>(pool->engine->bytesPerToken) * BITS_PER_BYTE;
-        m_mover.onReport(source, bits / pool->engine->linkMbps);
-    }
     auto moveRunsOf(const std::string &id) -> void
     {
         std::vector<request_state *> affected;
@@ -664,6 +663,7 @@
     timer_queue<timer_key> m_timers;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
+    std::uint64_t m_lastAskId = 0;
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -68,7 +68,7 @@
 {
     sink.toCaller(action);
     sink.toServer(command);
-    sink.askRoom(ask_room{});
+    sink.toReporter(reporter_command{});
     sink.log(event, id, fields);
     sink.observe(latency_kind::move, std::int64_t{});
 };
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -53,7 +53,7 @@
     ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
     ring<servers_changed> directoryToReports{DIRECTORY_CAPACITY};
     ring<report_event> fromReports{CAPACITY};
-    ring<ask_room> toReports{CAPACITY};
+    ring<reporter_command> toReports{CAPACITY};
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -3,6 +3,7 @@
 #include "framework/global/failure.h"
 #include "framework/http/eventsplitter.h"
 #include "framework/http/httptypes.h"
+#include "innerprotocol/reportframes.h"
 #include "manifest/routetable.h"
 #include "serverviews/serverentry.h"
 
@@ -133,6 +134,7 @@
 struct held_copy
 {
     /// Server that was asked for the copy.
+    std::string sourceId;
     endpoint source;
     std::string handle;
 };
@@ -146,7 +148,17 @@
     std::uint64_t expectedTokens = 0;
     std::uint64_t outputTokens = 0;
     std::uint32_t promptsAhead = 0;
+    /// The run is to be moved there from another server.
+    bool landing = false;
 };
+/// Tells the reporter beside a backend server how far the move of a run has got.
+struct tell_move
+{
+    std::string serverId;
+    std::string requestId;
+    move_note note = move_note::ended;
+};
+using reporter_command = std::variant<ask_room, tell_move>;
 
 /// Sends a request to a backend server.
 struct send_forward
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -31,7 +31,7 @@
         , serverEvents(worker.context(), rings.fromServers, outer)
         , directoryEvents(worker.context(), rings.fromDirectory, outer)
         , reports(worker.context(), rings.fromReports, outer)
-        , roomAsks(worker.context(), rings.toReports, BACKLOG_LIMIT)
+        , reporterCommands(worker.context(), rings.toReports, BACKLOG_LIMIT)
         , timer(worker.context())
         , directory({})
         , core(std::move(options), clock, systemSeed(), directory, *this)
@@ -57,10 +57,12 @@
             LOG(ERROR) << "command lost: the servers' duty has fallen behind its backlog limit";
         }
     }
-    auto askRoom(ask_room ask) -> void
+    auto toReporter(reporter_command command) -> void
     {
-        metrics.add(forwarding_metric::room_asked);
-        if (roomAsks.push(std::move(ask))) {
+        if (std::holds_alternative<ask_room>(command)) {
+            metrics.add(forwarding_metric::room_asked);
+        }
+        if (reporterCommands.push(std::move(command))) {
             LOG(ERROR) << "question lost: the reports' duty has fallen behind its backlog limit";
         }
     }
@@ -144,7 +146,7 @@
     ring_reader<server_event, forwarding_duty> serverEvents;
     ring_reader<directory_event, forwarding_duty> directoryEvents;
     ring_reader<report_event, forwarding_duty> reports;
-    ring_writer<ask_room> roomAsks;
+    ring_writer<reporter_command> reporterCommands;
     boost::asio::steady_timer timer;
     std::optional<time_us> armed;
     server_directory directory;
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -15,10 +15,13 @@
 template <typename H>
 concept placement_host
     = requires(H &host, request_state &request, const std::string &id, const endpoint &server,
-               ask_room ask, log_event event, std::vector<log_field> fields)
+               reporter_command command, log_event event, std::vector<log_field> fields)
 {
     host.send(request, id, server, std::nullopt);
-    host.askRoom(ask);
+    host.toReporter(command);
+    {
+        host.nextAskId()
+        } -> std::same_as<std::uint64_t>;
     host.onNoRoom(request);
     host.log(event, request, fields);
     host.observe(latency_kind::room_question, std::int64_t{});
@@ -60,6 +63,7 @@
         request.question = {};
         placeOrWait(request);
     }
+    /// The answer to a question of the placer's; others are not its own.
     auto onRoomReply(const room_replied &replied) -> void
     {
         const auto found = m_requestOfAsk.find(replied.askId);
@@ -92,6 +96,7 @@
         auto avoided = moving ? request.fullTargets : request.avoided;
         if (moving) {
             avoided.push_back(request.run.serverId);
+            avoided.insert(avoided.end(), request.busyTargets.begin(), request.busyTargets.end());
         } else {
             const auto &full = request.question.full;
             avoided.insert(avoided.end(), full.begin(), full.end());
@@ -177,17 +182,17 @@
     auto ask(request_state &request) -> void
     {
         request.phase = request_phase::asking;
-        request.question.askId = ++m_lastAskId;
+        request.question.askId = m_host.nextAskId();
         request.question.askedAt = m_clock.now();
         ++request.question.count;
-        m_requestOfAsk.emplace(m_lastAskId, request.number);
+        m_requestOfAsk.emplace(request.question.askId, request.number);
         m_timers.set({timer_kind::question, request.number}, m_clock.now() + m_options.questionUs);
-        m_host.askRoom({.askId = m_lastAskId,
-                        .serverId = request.question.serverId,
-                        .requestId = request.request->requestId,
-                        .expectedTokens = expectedTokens(request),
-                        .outputTokens = expectedTokens(request) - request.promptTokens(),
-                        .promptsAhead = promptsAllowed(request)});
+        m_host.toReporter(ask_room{.askId = request.question.askId,
+                                   .serverId = request.question.serverId,
+                                   .requestId = request.request->requestId,
+                                   .expectedTokens = expectedTokens(request),
+                                   .outputTokens = expectedTokens(request) - request.promptTokens(),
+                                   .promptsAhead = promptsAllowed(request)});
     }
     /// Prompts that may be read before this one without missing the latency target.
     auto promptsAllowed(const request_state &request) const -> std::uint32_t
@@ -240,7 +245,6 @@
     Host &m_host;
     timer_queue<timer_key> m_timers;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfAsk;
-    std::uint64_t m_lastAskId = 0;
     std::uint32_t m_entries = 1;
 };
 
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -25,8 +25,9 @@
 }
 
 /// How far the move of a running generation to another engine has got.
-enum class move_stage { copying, copied, stopping, stopped };
+enum class move_stage { asking, copying, copied, stopping, stopped };
 inline constexpr std::array moveStageNames{
+    enum_name<move_stage>{move_stage::asking, "asking"},
     enum_name<move_stage>{move_stage::copying, "copying"},
     enum_name<move_stage>{move_stage::copied, "copied"},
     enum_name<move_stage>{move_stage::stopping, "stopping"},
@@ -40,11 +41,13 @@
 /// Move of a running generation.
 struct run_move
 {
-    move_stage stage = move_stage::copying;
+    move_stage stage = move_stage::asking;
+    /// Question to the target's reporter.
+    std::uint64_t askId = 0;
     std::uint64_t copyId = 0;
     std::string targetId;
     endpoint target;
-    /// Tokens counted in at the target.
+    /// Memory of the run, in tokens; counted in at the target from the first copy on.
     std::uint64_t tokens = 0;
     /// Names the copy at the target, once there is one.
     std::string handle;
@@ -64,8 +67,8 @@
     endpoint server;
     /// Memory counted in at the server, in tokens.
     std::uint64_t tokens = 0;
-    /// Goes on from a copy of an earlier run's memory, so that it is the same run.
-    bool goesOn = false;
+    /// It goes on from a copy of an earlier run's memory, so that it is the same run.
+    std::optional<held_copy> copy;
 };
 
 /// Question to a reporter whether there is room for a request.
@@ -104,8 +107,8 @@
     request_phase phase = request_phase::waiting;
     request_run run;
     std::optional<run_move> move;
-    /// Since when it waits for a plan of its leaving server.
-    std::optional<time_us> unplannedSince;
+    /// Since when it waits for its leaving server to say whose turn it is.
+    std::optional<time_us> unheardSince;
     /// Sends that may have begun to run.
     std::uint32_t attempts = 0;
     std::uint32_t sends = 0;
@@ -113,7 +116,11 @@
     std::vector<std::string> avoided;
     /// Targets that had no room for a copy.
     std::vector<std::string> fullTargets;
+    /// Targets whose reporters gave no room of late.
+    std::vector<std::string> busyTargets;
     bool noRoomTold = false;
+    /// It has let others go first, since it may end before its server does.
+    bool gaveWay = false;
     bool streamGiven = false;
     std::uint64_t lastEvent = 0;
     std::uint64_t eventsGiven = 0;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/evacuationplan.h"
+#include "forwarding/forwardrings.h"
 #include "forwarding/placement.h"
 #include "forwarding/requeststate.h"
 #include "framework/eventlog/eventlog.h"
@@ -14,27 +14,40 @@
 /// Options of moving generations off a server that leaves.
 struct run_mover_options
 {
-    /// Targets that are tried for one run.
+    /// Targets that refuse a copy before a run stays where it is.
     std::size_t targets = 3;
+    /// Reporters of targets that are asked for one turn.
+    std::size_t questions = 4;
+    /// Time for a reporter to answer; without an answer the copy is ordered all the same.
+    std::int64_t questionUs = 25 * US_PER_MS;
+    /// Silence after which a server counts as having no reporter.
+    std::int64_t reporterUs = 250 * US_PER_MS;
     /// Pause before a copy is ordered again where one was under way.
     std::int64_t againUs = 40 * US_PER_MS;
-    evacuation_options evacuation;
-    /// Time for the first report of what runs on a leaving server.
-    std::int64_t planUs = 120 * US_PER_MS;
+    /// Time for the first report of a leaving server, which says whose turn it is.
+    std::int64_t firstReportUs = 120 * US_PER_MS;
     /// Time for a source to end its stream after its run was stopped.
     std::int64_t sourceEndUs = 30 * US_PER_MS;
+    /// Time of one output token beside others, and time that is left over, for whether a run ends
+    /// before its server does.
+    std::int64_t usPerToken = 10 * US_PER_MS;
+    std::int64_t endMarginUs = 300 * US_PER_MS;
 };
 
 /// What the mover asks of the decisions around it.
 template <typename H>
-concept move_host
-    = requires(H &host, request_state &request, server_command command, const std::string &id,
-               held_copy copy, log_event event, std::vector<log_field> fields)
+concept move_host = requires(H &host, request_state &request, server_command command,
+                             reporter_command asked, const std::string &id, held_copy copy,
+                             log_event event, std::vector<log_field> fields)
 {
     host.toServer(command);
+    host.toReporter(asked);
     host.goOnAt(request, id, copy);
     host.log(event, request, fields);
     host.observeMove(std::int64_t{});
+    {
+        host.nextAskId()
+        } -> std::same_as<std::uint64_t>;
     {
         host.findRequest(std::uint64_t{})
         } -> std::same_as<request_state *>;
@@ -43,9 +56,10 @@
         } -> std::same_as<const server_view *>;
 };
 
-/// Moves running generations off a leaving server, one after the other: copies a run's memory while
-/// it runs, then stops it, copies the rest, and lets it go on at the target within the same answer.
-/// Not thread safe: belongs to one duty.
+/// Moves running generations off a leaving server: copies a run's memory while it runs, then stops
+/// it, copies the rest, and lets it go on at the target within the same answer. The reporter of the
+/// source says whose turn it is, and that of the target whether its link is free, so that the rest
+/// of a stopped run does not wait behind other copies. Not thread safe: belongs to one duty.
 template <clock_source Clock, typename Host>
 class run_mover
 {
@@ -58,15 +72,6 @@
         , m_host(host)
     { }
 
-    /// A leaving server has told what runs on it.
-    auto onReport(const server_view &source, double usPerToken) -> void
-    {
-        const auto since = m_clock.now() + -source.report->leavingForMs * US_PER_MS;
-        const auto plan
-            = m_plans.try_emplace(source.entry.id, m_options.evacuation, usPerToken, since).first;
-        plan->second.note(source.report->runs);
-    }
-    auto onServerGone(const std::string &id) -> void { m_plans.erase(id); }
     /// Moves a run off its leaving server when it is its turn, unless it is being moved or cannot
     /// be.
     auto consider(request_state &request) -> void
@@ -77,11 +82,19 @@
             return;
         }
         const auto now = m_clock.now();
-        const auto plan = m_plans.find(request.run.serverId);
-        const auto start = plan == m_plans.end() ? startUnplanned(request)
-                                                 : plan->second.startOf(request.request->requestId);
-        if (start && *start > now) {
-            m_timers.set(request.number, *start);
+        const auto *source = m_directory.find(request.run.serverId);
+        if (source && hears(*source)) {
+            if (source->report->turn != request.request->requestId) {
+                // The next report brings it up again, unless the reporter falls silent.
+                m_timers.set(request.number, source->reportAt + m_options.reporterUs);
+                return;
+            }
+            if (mayStay(request, *source)) {
+                tellSource(request, move_note::put_off);
+                return;
+            }
+        } else if (const auto start = startUnheard(request); start > now) {
+            m_timers.set(request.number, start);
             return;
         }
         begin(request);
@@ -105,15 +118,27 @@
         goOn(request);
         return true;
     }
-    auto onCopied(const run_copied &done) -> void
+    /// The answer to a question of the mover's; others are not its own.
+    auto onRoomReply(const room_replied &replied) -> void
     {
-        const auto number = m_requestOf.find(done.copyId);
-        if (number == m_requestOf.end()) {
+        auto *request = takeMoveOf(m_requestOfAsk, replied.askId);
+        if (!request || request->move->askId != replied.askId
+            || request->move->stage != move_stage::asking) {
             return;
         }
-        auto *request = m_host.findRequest(number->second);
-        m_requestOf.erase(number);
-        if (!request || !request->move || request->move->copyId != done.copyId) {
+        m_timers.cancel(request->number);
+        if (replied.verdict == room_verdict::granted) {
+            copyFirst(*request);
+            return;
+        }
+        request->busyTargets.push_back(request->move->targetId);
+        request->move.reset();
+        begin(*request);
+    }
+    auto onCopied(const run_copied &done) -> void
+    {
+        auto *request = takeMoveOf(m_requestOfCopy, done.copyId);
+        if (!request || request->move->copyId != done.copyId) {
             return;
         }
         request->move->stage == move_stage::stopping ? onStopped(*request, done)
@@ -125,15 +150,11 @@
         if (!request.move) {
             return;
         }
-        auto &move = *request.move;
-        m_timers.cancel(request.number);
-        m_requestOf.erase(move.copyId);
-        noteLeft(request);
-        m_directory.noteEnded(move.targetId, move.tokens);
-        if (!move.handle.empty()) {
-            m_host.toServer(drop_copy{{.source = request.run.server, .handle = move.handle}});
+        const auto handle = request.move->handle;
+        endMove(request);
+        if (!handle.empty()) {
+            m_host.toServer(drop_copy{copyOf(request, handle)});
         }
-        request.move.reset();
     }
 
     auto nextTimer() const -> std::optional<time_us> { return m_timers.next(); }
@@ -150,64 +171,114 @@
     }
 
 private:
+    // --- turns
+
+    auto hears(const server_view &view) const -> bool
+    {
+        return view.report && m_clock.now() - view.reportAt < m_options.reporterUs;
+    }
+    /// A server that reports is given the time to say whose turn it is.
+    auto startUnheard(request_state &request) const -> time_us
+    {
+        const auto *source = m_directory.find(request.run.serverId);
+        if (!source || !source->report) {
+            return {};
+        }
+        if (!request.unheardSince) {
+            request.unheardSince = m_clock.now();
+        }
+        return *request.unheardSince + m_options.firstReportUs;
+    }
+    /// Whether the run ends before its server does: certainly, or by the caller's estimate, which
+    /// is trusted once, so that others go first.
+    auto mayStay(request_state &request, const server_view &source) const -> bool
+    {
+        if (!source.goneAt) {
+            return false;
+        }
+        const auto &ask = request.request->generation;
+        const auto produced = request.producedTokens();
+        const auto left = *source.goneAt - m_clock.now() - m_options.endMarginUs;
+        const auto endsBy = [&](std::uint32_t output) {
+            return output > produced
+                   && static_cast<std::int64_t>(output - produced) * m_options.usPerToken < left;
+        };
+        if (endsBy(ask.mostOutputTokens)) {
+            return true;
+        }
+        const auto estimated = ask.outputEstimate && endsBy(*ask.outputEstimate);
+        return estimated && !std::exchange(request.gaveWay, true);
+    }
+    auto tellSource(const request_state &request, move_note note) -> void
+    {
+        m_host.toReporter(tell_move{.serverId = request.run.serverId,
+                                    .requestId = request.request->requestId,
+                                    .note = note});
+    }
+    auto tellTarget(const request_state &request, const std::string &targetId) -> void
+    {
+        m_host.toReporter(tell_move{.serverId = targetId,
+                                    .requestId = request.request->requestId,
+                                    .note = move_note::ended});
+    }
+
+    // --- steps of a move
+
     auto begin(request_state &request) -> void
     {
-        const auto *target = request.fullTargets.size() < m_options.targets
-                                 ? m_host.roomFor(request, true)
-                                 : nullptr;
+        const auto full = request.fullTargets.size() >= m_options.targets
+                          || request.busyTargets.size() >= m_options.questions;
+        const auto *target = full ? nullptr : m_host.roomFor(request, true);
         if (!target) {
-            if (std::exchange(request.noRoomTold, true)) {
-                return;
+            request.busyTargets.clear();
+            tellSource(request, move_note::put_off);
+            if (!std::exchange(request.noRoomTold, true)) {
+                m_host.log(log_event::request_moving, request,
+                           {{"outcome", std::string("no_room_elsewhere")},
+                            {"server", request.run.serverId}});
             }
-            m_host.log(
-                log_event::request_moving, request,
-                {{"outcome", std::string("no_room_elsewhere")}, {"server", request.run.serverId}});
             return;
         }
-        run_move move{.targetId = target->entry.id,
-                      .target = target->entry.address,
-                      .tokens = request.promptTokens() + request.producedTokens(),
-                      .startedAt = m_clock.now()};
-        m_directory.noteSent(move.targetId, move.tokens);
-        request.move = std::move(move);
-        m_host.log(log_event::request_moving, request,
-                   {{"server", request.run.serverId},
-                    {"target", request.move->targetId},
-                    {"planned", std::int64_t{m_plans.contains(request.run.serverId)}},
-                    {"runs_there", runsAt(request)},
-                    {"events", static_cast<std::int64_t>(request.lastEvent)}});
-        order(request, false);
+        request.move = run_move{.targetId = target->entry.id,
+                                .target = target->entry.address,
+                                .tokens = request.promptTokens() + request.producedTokens(),
+                                .startedAt = m_clock.now()};
+        tellSource(request, move_note::begun);
+        hears(*target) ? ask(request) : copyFirst(request);
     }
-    auto runsAt(const request_state &request) const -> std::int64_t
+    auto ask(request_state &request) -> void
     {
-        const auto *view = m_directory.find(request.run.serverId);
-        return view && view->report ? static_cast<std::int64_t>(view->report->runs.size()) : -1;
+        auto &move = *request.move;
+        move.askId = m_host.nextAskId();
+        m_requestOfAsk.emplace(move.askId, request.number);
+        m_timers.set(request.number, m_clock.now() + m_options.questionUs);
+        m_host.toReporter(ask_room{.askId = move.askId,
+                                   .serverId = move.targetId,
+                                   .requestId = request.request->requestId,
+                                   .expectedTokens = move.tokens,
+                                   .landing = true});
     }
-    /// A server that reports is given the time to say what runs on it.
-    auto startUnplanned(request_state &request) const -> std::optional<time_us>
+    auto copyFirst(request_state &request) -> void
     {
+        const auto &move = *request.move;
+        m_directory.noteSent(move.targetId, move.tokens);
         const auto *source = m_directory.find(request.run.serverId);
-        if (!source || !source->report) {
-            return std::nullopt;
-        }
-        if (!request.unplannedSince) {
-            request.unplannedSince = m_clock.now();
-        }
-        return *request.unplannedSince + m_options.planUs;
-    }
-    auto noteLeft(const request_state &request) -> void
-    {
-        const auto plan = m_plans.find(request.run.serverId);
-        if (plan != m_plans.end()) {
-            plan->second.left(request.request->requestId);
-        }
+        m_host.log(log_event::request_moving, request,
+                   {{"server", request.run.serverId},
+                    {"target", move.targetId},
+                    {"asked", std::int64_t{move.askId != 0}},
+                    {"runs_there", source && source->report
+                                       ? static_cast<std::int64_t>(source->report->runs.size())
+                                       : std::int64_t{-1}},
+                    {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        order(request, false);
     }
     auto order(request_state &request, bool stop) -> void
     {
         auto &move = *request.move;
         move.copyId = ++m_lastCopyId;
         move.stage = stop ? move_stage::stopping : move_stage::copying;
-        m_requestOf.emplace(move.copyId, request.number);
+        m_requestOfCopy.emplace(move.copyId, request.number);
         m_host.toServer(copy_run{.copyId = move.copyId,
                                  .source = request.run.server,
                                  .target = move.target,
@@ -217,6 +288,9 @@
     auto onDue(request_state &request) -> void
     {
         switch (request.move->stage) {
+        case move_stage::asking:
+            copyFirst(request);
+            break;
         case move_stage::copying:
             order(request, false);
             break;
@@ -249,8 +323,9 @@
         case copy_outcome::no_room:
         case copy_outcome::failed:
             request.fullTargets.push_back(move.targetId);
-            abandon(request);
-            consider(request);
+            endCopying(request);
+            request.move.reset();
+            begin(request);
             break;
         }
     }
@@ -274,7 +349,7 @@
             m_timers.set(request.number, m_clock.now() + m_options.againUs);
             break;
         case copy_outcome::no_room:
-            goOnAtSource(request);
+            stayAtSource(request);
             break;
         case copy_outcome::no_such_run:
         case copy_outcome::failed:
@@ -288,45 +363,77 @@
         }
     }
     /// The run has stopped and there is no room at the target: the source can still go on with it.
-    auto goOnAtSource(request_state &request) -> void
+    auto stayAtSource(request_state &request) -> void
     {
-        const held_copy copy{.source = request.run.server, .handle = request.move->handle};
-        const auto sourceId = request.run.serverId;
-        m_directory.noteEnded(request.move->targetId, request.move->tokens);
+        const auto copy = copyOf(request, request.move->handle);
         request.fullTargets.push_back(request.move->targetId);
-        m_timers.cancel(request.number);
-        request.move.reset();
-        m_host.goOnAt(request, sourceId, copy);
+        endMove(request);
+        m_host.goOnAt(request, copy.sourceId, copy);
     }
     auto goOn(request_state &request) -> void
     {
-        const held_copy copy{.source = request.run.server, .handle = request.move->handle};
-        const auto targetId = request.move->targetId;
-        const auto took = m_clock.now() - request.move->startedAt;
-        m_timers.cancel(request.number);
-        m_requestOf.erase(request.move->copyId);
-        m_directory.noteEnded(targetId, request.move->tokens);
+        const auto move = *request.move;
+        const auto copy = copyOf(request, move.handle);
+        const auto now = m_clock.now();
         m_host.log(log_event::request_moved, request,
                    {{"server", request.run.serverId},
-                    {"target", targetId},
+                    {"target", move.targetId},
                     {"events", static_cast<std::int64_t>(request.lastEvent)},
-                    {"bulk_ms", (request.move->copiedAt - request.move->startedAt) / US_PER_MS},
-                    {"stopped_ms", (m_clock.now() - request.move->stopAt) / US_PER_MS},
-                    {"took_ms", took / US_PER_MS}});
-        request.move.reset();
-        request.unplannedSince.reset();
-        noteLeft(request);
+                    {"bulk_ms", (move.copiedAt - move.startedAt) / US_PER_MS},
+                    {"stopped_ms", (now - move.stopAt) / US_PER_MS},
+                    {"took_ms", (now - move.startedAt) / US_PER_MS}});
+        endMove(request);
+        request.unheardSince.reset();
+        request.gaveWay = false;
         ++request.moves;
-        m_host.observeMove(took);
-        m_host.goOnAt(request, targetId, copy);
+        m_host.observeMove(now - move.startedAt);
+        m_host.goOnAt(request, move.targetId, copy);
+    }
+    static auto copyOf(const request_state &request, std::string handle) -> held_copy
+    {
+        return {.sourceId = request.run.serverId,
+                .source = request.run.server,
+                .handle = std::move(handle)};
     }
+    /// The links are free again, and the run is counted at the target no more.
+    auto endCopying(request_state &request) -> void
+    {
+        const auto &move = *request.move;
+        m_timers.cancel(request.number);
+        m_requestOfAsk.erase(move.askId);
+        m_requestOfCopy.erase(move.copyId);
+        if (move.stage != move_stage::asking) {
+            m_directory.noteEnded(move.targetId, move.tokens);
+        }
+        tellTarget(request, move.targetId);
+    }
+    auto endMove(request_state &request) -> void
+    {
+        endCopying(request);
+        tellSource(request, move_note::ended);
+        request.busyTargets.clear();
+        request.move.reset();
+    }
+    /// Request whose move waits for an answer; null when it is moved no more.
+    auto takeMoveOf(std::unordered_map<std::uint64_t, std::uint64_t> &waiting, std::uint64_t id)
+        -> request_state *
+    {
+        const auto found = waiting.find(id);
+        if (found == waiting.end()) {
+            return nullptr;
+        }
+        auto *request = m_host.findRequest(found->second);
+        waiting.erase(found);
+        return request && request->move ? request : nullptr;
+    }
+
     run_mover_options m_options;
     Clock m_clock;
     server_directory &m_directory;
     Host &m_host;
     timer_queue<std::uint64_t> m_timers;
-    std::unordered_map<std::string, evacuation_plan> m_plans;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_requestOf;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfAsk;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_requestOfCopy;
     std::uint64_t m_lastCopyId = 0;
 };
 
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -12,10 +12,18 @@
     std::vector<forward_action> toCallers;
     std::vector<server_command> toServers;
     std::vector<ask_room> asks;
+    std::vector<tell_move> told;
 
     auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
     auto toServer(server_command command) -> void { toServers.push_back(std::move(command)); }
-    auto askRoom(ask_room ask) -> void { asks.push_back(std::move(ask)); }
+    auto toReporter(reporter_command command) -> void
+    {
+        if (auto *ask = std::get_if<ask_room>(&command)) {
+            asks.push_back(std::move(*ask));
+        } else {
+            told.push_back(std::get<tell_move>(std::move(command)));
+        }
+    }
     auto log(log_event, const std::string &, std::vector<log_field>) -> void { }
     auto observe(latency_kind, std::int64_t) -> void { }
 
@@ -142,13 +150,30 @@
         time.now = time.now + ms * US_PER_MS;
         core.onTimer();
     }
-    /// The server of the last send leaves and tells that the last request runs there.
-    auto leave() -> void
+    /// The server of the last send leaves and says that the last request may be moved away.
+    auto leave() -> void { leave(lastSend().request->requestId); }
+    auto leave(const std::string &turn, std::int64_t leavesMs = 1'500) -> void
     {
         core.onReport(lastSend().serverId, {.state = server_state::leaving,
-                                            .leavesMs = 1'500,
-                                            .runs = {{lastSend().request->requestId, 3'000, 100}}});
+                                            .leavesMs = leavesMs,
+                                            .runs = {{lastSend().request->requestId, 3'000, 100}},
+                                            .turn = turn});
+    }
+    auto copied(copy_outcome outcome, std::string handle) -> void
+    {
+        core.onEvent(run_copied{.copyId = sink.servers<copy_run>().back().copyId,
+                                .outcome = outcome,
+                                .handle = std::move(handle)});
+    }
+    auto reply(room_verdict verdict) -> void
+    {
+        const auto ask = sink.asks.back();
+        core.onRoomReply({.askId = ask.askId,
+                          .verdict = verdict,
+                          .serverId = ask.serverId,
+                          .report = {.capacityTokens = 34'000}});
     }
+    auto copies() const -> std::size_t { return sink.servers<copy_run>().size(); }
 };
 
 } // namespace
@@ -347,6 +372,103 @@
     CHECK(f.core.drained());
 }
 
+TEST_CASE("a run is moved when its server's reporter says so, and at once when that falls silent")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.leave("another");
+    CHECK(f.copies() == 0);
+    f.leave();
+    CHECK(f.copies() == 1);
+    REQUIRE_FALSE(f.sink.told.empty());
+    CHECK(f.sink.told.back().note == move_note::begun);
+
+    fixture g;
+    g.open("draft");
+    g.begin();
+    g.leave("another");
+    g.advance(251);
+    g.advance(121);
+    CHECK(g.copies() == 1);
+}
+
+TEST_CASE(
+    "a run that ends before its server does stays, and by its estimate it lets others go first")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 200);
+    f.leave(f.lastSend().request->requestId, 4'000);
+    CHECK(f.copies() == 0);
+    CHECK(f.sink.told.back().note == move_note::put_off);
+}
+
+TEST_CASE("a run is copied to where the reporter grants its link, and the links are told when free")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    const auto source = f.lastSend().serverId;
+    const auto target = std::string(source == "i-c" ? "i-d" : "i-c");
+    f.core.onReport(target, {.capacityTokens = 34'000});
+    f.leave();
+    CHECK(f.copies() == 0);
+    REQUIRE(f.sink.asks.size() == 1);
+    CHECK(f.sink.asks.back().landing);
+    CHECK(f.sink.asks.back().serverId == target);
+    f.reply(room_verdict::granted);
+    REQUIRE(f.copies() == 1);
+    f.copied(copy_outcome::copied, "h1");
+    f.failed(fetch_phase::reading);
+    f.copied(copy_outcome::copied, "h2");
+    CHECK(f.sends() == 2);
+    REQUIRE(f.sink.told.size() == 3);
+    CHECK(f.sink.told[1].serverId == target);
+    CHECK(f.sink.told[1].note == move_note::ended);
+    CHECK(f.sink.told[2].serverId == source);
+    CHECK(f.sink.told[2].note == move_note::ended);
+}
+
+TEST_CASE("a run whose targets are all busy is put off; a silent reporter does not stop it")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    const auto source = f.lastSend().serverId;
+    f.core.onReport(source == "i-c" ? "i-d" : "i-c", {.capacityTokens = 34'000});
+    f.leave();
+    f.reply(room_verdict::link_busy);
+    CHECK(f.copies() == 0);
+    CHECK(f.sink.told.back().note == move_note::put_off);
+    f.leave();
+    f.advance(26);
+    CHECK(f.copies() == 1);
+}
+
+TEST_CASE("a target that refuses a moved run sends it back to its source, once")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 10);
+    const auto source = f.lastSend().serverId;
+    f.leave();
+    f.copied(copy_outcome::copied, "h1");
+    f.failed(fetch_phase::reading);
+    f.copied(copy_outcome::copied, "h2");
+    REQUIRE(f.sends() == 2);
+    const auto refusal = answer_head{.status = 503, .notRun = true};
+    f.core.onEvent(server_answered{.exchangeId = f.lastSend().exchangeId, .head = refusal});
+    REQUIRE(f.sends() == 3);
+    CHECK(f.lastSend().serverId == source);
+    CHECK(f.lastSend().goOnFrom->handle == "h2");
+    f.core.onEvent(server_answered{.exchangeId = f.lastSend().exchangeId, .head = refusal});
+    CHECK(f.sends() == 3);
+    CHECK(f.sink.callers<give_cut>().size() == 1);
+}
+
 TEST_CASE("a generation is sent once its engine's reporter grants room, and elsewhere when not")
 {
     fixture f;
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -43,6 +43,8 @@
     /// Only while it is leaving: time since that was first seen, and what runs.
     std::int64_t leavingForMs = 0;
     std::vector<server_run> runs;
+    /// Id of the run that may be moved away now; empty when none may.
+    std::string turn;
     /// Entries that have asked for reports of late.
     std::uint32_t listeners = 0;
 
@@ -64,6 +66,7 @@
         visit(self.nextTokens);
         visit(self.leavingForMs);
         visit(self.runs);
+        visit(self.turn);
         visit(self.listeners);
     }
 };
@@ -107,6 +110,8 @@
     std::uint32_t promptsAhead = 0;
     /// Output it is expected to make, in tokens; part of the above.
     std::uint64_t outputTokens = 0;
+    /// The run is to be moved here from another server.
+    bool landing = false;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -116,17 +121,45 @@
         visit(self.expectedTokens);
         visit(self.promptsAhead);
         visit(self.outputTokens);
+        visit(self.landing);
+    }
+};
+
+/// What an entry says of the move of a run.
+enum class move_note { begun, ended, put_off };
+inline constexpr std::array moveNoteNames{
+    enum_name<move_note>{move_note::begun, "begun"},
+    enum_name<move_note>{move_note::ended, "ended"},
+    enum_name<move_note>{move_note::put_off, "put_off"},
+};
+constexpr auto namesOf(move_note) -> const auto &
+{
+    return moveNoteNames;
+}
+
+/// Entry to the reporters of a move's source and target. Once it has ended, the links are free.
+struct move_note_frame
+{
+    std::string requestId;
+    move_note note = move_note::ended;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.requestId);
+        visit(self.note);
     }
 };
 
 /// What a reporter says of room at its backend server.
-enum class room_verdict { granted, not_answering, leaving, memory_taken, prompts_ahead };
+enum class room_verdict { granted, not_answering, leaving, memory_taken, prompts_ahead, link_busy };
 inline constexpr std::array roomVerdictNames{
     enum_name<room_verdict>{room_verdict::granted, "granted"},
     enum_name<room_verdict>{room_verdict::not_answering, "not_answering"},
     enum_name<room_verdict>{room_verdict::leaving, "leaving"},
     enum_name<room_verdict>{room_verdict::memory_taken, "memory_taken"},
     enum_name<room_verdict>{room_verdict::prompts_ahead, "prompts_ahead"},
+    enum_name<room_verdict>{room_verdict::link_busy, "link_busy"},
 };
 constexpr auto namesOf(room_verdict) -> const auto &
 {
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -38,6 +38,7 @@
             .bornUnixMs = frame.bornUnixMs,
             .runs = frame.runs,
             .leavingForMs = frame.leavingForMs,
+            .turn = frame.turn,
             .listeners = frame.listeners};
 }
 
@@ -62,7 +63,7 @@
         : options(std::move(given))
         , metrics(numbers)
         , servers(worker.context(), rings.directoryToReports, outer)
-        , asks(worker.context(), rings.toReports, outer)
+        , commands(worker.context(), rings.toReports, outer)
         , reports(worker.context(), rings.fromReports, BACKLOG_LIMIT)
         , socket(worker.context(), *this)
         , timer(worker.context())
@@ -165,19 +166,27 @@
                                   .serverId = state.serverId,
                                   .report = reportOf(reply.report)});
     }
-    auto askRoom(const ask_room &asked) -> void
+    auto on(const ask_room &asked) -> void
+    {
+        sendTo(asked.serverId, room_request_frame{.askId = asked.askId,
+                                                  .requestId = asked.requestId,
+                                                  .expectedTokens = asked.expectedTokens,
+                                                  .promptsAhead = asked.promptsAhead,
+                                                  .outputTokens = asked.outputTokens,
+                                                  .landing = asked.landing});
+    }
+    auto on(const tell_move &told) -> void
+    {
+        sendTo(told.serverId, move_note_frame{.requestId = told.requestId, .note = told.note});
+    }
+    auto sendTo(const std::string &serverId, const frame &message) -> void
     {
         const auto found
-            = std::find_if(reporters.begin(), reporters.end(), [&asked](const auto &named) {
-                  return named.second.serverId == asked.serverId;
+            = std::find_if(reporters.begin(), reporters.end(), [&serverId](const auto &named) {
+                  return named.second.serverId == serverId;
               });
         if (found != reporters.end()) {
-            socket.send(found->second.reporter,
-                        room_request_frame{.askId = asked.askId,
-                                           .requestId = asked.requestId,
-                                           .expectedTokens = asked.expectedTokens,
-                                           .promptsAhead = asked.promptsAhead,
-                                           .outputTokens = asked.outputTokens});
+            socket.send(found->second.reporter, message);
         }
     }
     auto onReport(const server_report_frame &report) -> void
@@ -227,7 +236,7 @@
     metric_set<reports_metric> &metrics;
     duty worker{"reports"};
     ring_reader<servers_changed, reports_duty> servers;
-    ring_reader<ask_room, reports_duty> asks;
+    ring_reader<reporter_command, reports_duty> commands;
     ring_writer<report_event> reports;
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
@@ -256,7 +265,7 @@
 auto reports_duty::start() -> void
 {
     m_impl->servers.start();
-    m_impl->asks.start();
+    m_impl->commands.start();
     m_impl->socket.start();
     boost::asio::post(m_impl->worker.context(), [this] { m_impl->askAll(); });
     m_impl->worker.start();
@@ -272,9 +281,9 @@
     m_impl->onServers(changed);
 }
 
-auto reports_duty::handle(ask_room &&asked) -> void
+auto reports_duty::handle(reporter_command &&command) -> void
 {
-    m_impl->askRoom(asked);
+    std::visit([this](const auto &one) { m_impl->on(one); }, command);
 }
 
 } // namespace marjoram
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -3,6 +3,7 @@
 #include "framework/global/clock.h"
 #include "framework/http/httptypes.h"
 #include "innerprotocol/frames.h"
+#include "reporting/evacuationturns.h"
 #include "serverviews/serverentry.h"
 
 #include <map>
@@ -50,6 +51,9 @@
     double longMemory = 0.90;
     /// Memory by which each run is expected to grow while others end, in tokens.
     std::uint64_t growthTokens = 300;
+    evacuation_options evacuation;
+    /// Longest time for which one run that is moved here keeps the link from others.
+    std::int64_t landingUs = 800 * US_PER_MS;
 };
 
 /// Takes the actions of a report_core.
@@ -73,6 +77,7 @@
         : m_options(options)
         , m_clock(clock)
         , m_sink(sink)
+        , m_turns(m_options.evacuation)
     {
         static_assert(report_sink<Sink>);
         m_report.server = std::move(server);
@@ -101,10 +106,26 @@
         const auto verdict = verdictOn(asked);
         if (verdict == room_verdict::granted) {
             m_grants.insert_or_assign(asked.requestId, grant_state{asked.expectedTokens, now});
+            if (asked.landing) {
+                m_landing = landing_run{asked.requestId, now};
+            }
         }
         m_sink.send(
             from, room_reply_frame{.askId = asked.askId, .verdict = verdict, .report = numbered()});
     }
+    /// An entry tells how far the move of a run from or to the server has got.
+    auto onMove(const move_note_frame &told) -> void
+    {
+        if (m_landing && m_landing->requestId == told.requestId && told.note != move_note::begun) {
+            // From now on the server counts the memory of the copy itself.
+            m_landing.reset();
+            m_grants.erase(told.requestId);
+        }
+        m_turns.onMove(told.requestId, told.note, m_clock.now());
+        if (std::exchange(m_report.turn, m_turns.turn()) != m_turns.turn()) {
+            publish(true);
+        }
+    }
     /// An entry passes on that some other server has started.
     auto onNews(server_news_frame news) -> void
     {
@@ -210,16 +231,27 @@
                                           .slots = m_identity->slots,
                                           .bornUnixMs = m_report.bornUnixMs});
     }
+    /// Run that is being moved here; copies wait for each other on the server's link.
+    struct landing_run
+    {
+        std::string requestId;
+        time_us at;
+    };
+
     auto noteLeaving(const server_report &seen) -> void
     {
         const auto now = m_clock.now();
         if (!m_report.leaving && !m_report.leavesKnown) {
             m_leavingSince = now;
             m_report.runs.clear();
+            m_report.turn.clear();
+            m_turns.clear();
             return;
         }
         m_report.leavingForMs = (now - m_leavingSince) / US_PER_MS;
         m_report.runs = seen.runs;
+        m_turns.note(seen.runs, now);
+        m_report.turn = m_turns.turn();
     }
     auto verdictOn(const room_request_frame &asked) const -> room_verdict
     {
@@ -229,10 +261,10 @@
         if (m_report.leaving || m_report.leavesKnown) {
             return room_verdict::leaving;
         }
-        std::uint64_t tokens = 0;
-        for (const auto &[id, granted] : m_grants) {
-            tokens += granted.expectedTokens;
+        if (asked.landing) {
+            return verdictOnLanding(asked);
         }
+        const auto tokens = grantedTokens();
         // Whatever is short is gone before others have grown much.
         const auto brief = asked.outputTokens <= m_options.briefTokens;
         const auto share = brief ? m_options.briefMemory : m_options.longMemory;
@@ -245,6 +277,26 @@
         const auto ahead = m_report.starting + std::max(m_report.waiting, prompts);
         return ahead > asked.promptsAhead ? room_verdict::prompts_ahead : room_verdict::granted;
     }
+    auto verdictOnLanding(const room_request_frame &asked) const -> room_verdict
+    {
+        const auto busy = m_landing && m_landing->requestId != asked.requestId
+                          && m_clock.now() - m_landing->at < m_options.landingUs;
+        if (busy) {
+            return room_verdict::link_busy;
+        }
+        // A run that must move is worth more than room for growth.
+        const auto needed = m_report.usedTokens + grantedTokens() + asked.expectedTokens;
+        return needed > m_report.capacityTokens ? room_verdict::memory_taken
+                                                : room_verdict::granted;
+    }
+    auto grantedTokens() const -> std::uint64_t
+    {
+        std::uint64_t tokens = 0;
+        for (const auto &[id, granted] : m_grants) {
+            tokens += granted.expectedTokens;
+        }
+        return tokens;
+    }
     auto forgetGrants(time_us now) -> void
     {
         std::erase_if(m_grants,
@@ -284,6 +336,8 @@
     std::map<std::string, listener_state> m_listeners;
     /// By request id.
     std::map<std::string, grant_state> m_grants;
+    evacuation_turns m_turns;
+    std::optional<landing_run> m_landing;
     std::uint32_t m_failures = 0;
     bool m_looked = false;
     time_us m_leavingSince;
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -91,6 +91,8 @@
             m_core.onRequest(from);
         } else if (const auto *asked = std::get_if<room_request_frame>(&message)) {
             m_core.onRoomRequest(from, *asked);
+        } else if (const auto *told = std::get_if<move_note_frame>(&message)) {
+            m_core.onMove(*told);
         } else if (const auto *news = std::get_if<server_news_frame>(&message)) {
             m_core.onNews(*news);
         }
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -57,7 +57,7 @@
     // --- called by the ring reader on the duty's thread
 
     auto handle(servers_changed &&changed) -> void;
-    auto handle(ask_room &&asked) -> void;
+    auto handle(reporter_command &&command) -> void;
 
 private:
     struct impl;
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -190,3 +190,37 @@
     CHECK(f.sink.news[0].first == f.entry);
     CHECK(f.sink.news[0].second.relays == 2);
 }
+
+TEST_CASE("one run lands at a time, and runs may use what is kept from new work")
+{
+    fixture f;
+    f.core.onReport({.usedTokens = 20'000, .capacityTokens = 30'000});
+    const auto land = [&](std::string id) {
+        f.core.onRoomRequest(
+            f.entry, {.requestId = std::move(id), .expectedTokens = 4'000, .landing = true});
+        return f.sink.replies.back().verdict;
+    };
+    CHECK(land("a") == room_verdict::granted);
+    CHECK(land("a") == room_verdict::granted);
+    CHECK(land("b") == room_verdict::link_busy);
+    f.core.onMove({.requestId = "a", .note = move_note::ended});
+    CHECK(land("b") == room_verdict::granted);
+    CHECK(land("c") == room_verdict::link_busy);
+    f.advance(801);
+    CHECK(land("c") == room_verdict::memory_taken);
+}
+
+TEST_CASE("whose turn it is to leave is told at once when it changes")
+{
+    fixture f;
+    f.core.onRequest(f.entry);
+    const server_report leaving{.state = server_state::leaving,
+                                .runs = {{"a", 100, 50}, {"b", 200, 50}}};
+    f.core.onReport(leaving);
+    CHECK(f.sink.reports.back().turn == "a");
+    f.core.onMove({.requestId = "a", .note = move_note::begun});
+    CHECK(f.sink.reports.size() == 1);
+    f.core.onMove({.requestId = "a", .note = move_note::ended});
+    REQUIRE(f.sink.reports.size() == 2);
+    CHECK(f.sink.reports.back().turn == "b");
+}
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -85,6 +85,8 @@
     std::vector<server_run> runs;
     /// Time since it was first seen to leave.
     std::int64_t leavingForMs = 0;
+    /// Id of the run that may be moved away now.
+    std::string turn;
     /// Entries that hear these reports.
     std::uint32_t listeners = 0;
 };
