--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -90,7 +90,7 @@
             const auto drawn = random() % open.size();
             const auto *view = std::exchange(open[drawn], open.back());
             open.pop_back();
-            const auto score = scoreOf(ask, *view) + jitter(random);
+            const auto score = scoreOf(ask, *view) + jitter(ask, random);
             if (!best || score < bestScore) {
                 best = view;
                 bestScore = score;
@@ -126,6 +126,9 @@
     static constexpr double COLD_PENALTY = 0.5;
     /// Width of the draw between servers that look alike.
     static constexpr double JITTER = 0.04;
+    /// The same for moves: servers leave together, and their runs must not all ask the emptiest
+    /// one, whose link takes one at a time.
+    static constexpr double JITTER_MOVING = 0.25;
     /// A prompt to be read first delays about as much as this share of memory is worth.
     static constexpr double PER_PROMPT_AHEAD = 0.15;
 
@@ -142,9 +145,10 @@
         const auto reported = view.report ? view.report->capacityTokens : 0;
         return std::max<std::uint64_t>(1, reported > 0 ? reported : ask.pool->engine->memoryTokens);
     }
-    static auto jitter(random_source &random) -> double
+    static auto jitter(const placement_ask &ask, random_source &random) -> double
     {
-        return JITTER * static_cast<double>(random() >> 11) * 0x1.0p-53;
+        const auto width = ask.moving ? JITTER_MOVING : JITTER;
+        return width * static_cast<double>(random() >> 11) * 0x1.0p-53;
     }
     static auto scoreOf(const placement_ask &ask, const server_view &view) -> double
     {
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -118,6 +118,8 @@
     std::vector<std::string> fullTargets;
     /// Targets whose reporters gave no room of late.
     std::vector<std::string> busyTargets;
+    /// What the last of them said.
+    room_verdict landingRefusal = room_verdict::granted;
     bool noRoomTold = false;
     /// It has let others go first, since it may end before its server does.
     bool gaveWay = false;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -17,7 +17,7 @@
     /// Targets that refuse a copy before a run stays where it is.
     std::size_t targets = 3;
     /// Reporters of targets that are asked for one turn.
-    std::size_t questions = 4;
+    std::size_t questions = 6;
     /// Time for a reporter to answer; without an answer the copy is ordered all the same.
     std::int64_t questionUs = 25 * US_PER_MS;
     /// Silence after which a server counts as having no reporter.
@@ -132,6 +132,7 @@
             return;
         }
         request->busyTargets.push_back(request->move->targetId);
+        request->landingRefusal = replied.verdict;
         request->move.reset();
         begin(*request);
     }
@@ -235,7 +236,8 @@
             if (!std::exchange(request.noRoomTold, true)) {
                 m_host.log(log_event::request_moving, request,
                            {{"outcome", std::string("no_room_elsewhere")},
-                            {"server", request.run.serverId}});
+                            {"server", request.run.serverId},
+                            {"room", std::string(nameOf(request.landingRefusal))}});
             }
             return;
         }
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -204,6 +204,7 @@
     CHECK(land("a") == room_verdict::granted);
     CHECK(land("b") == room_verdict::link_busy);
     f.core.onMove({.requestId = "a", .note = move_note::ended});
+    f.core.onReport({.usedTokens = 24'000, .capacityTokens = 30'000});
     CHECK(land("b") == room_verdict::granted);
     CHECK(land("c") == room_verdict::link_busy);
     f.advance(801);
