Long work may fill 0.82 of an engine's memory

Cause: 17% of the engines leave at once; what runs there needs 0.17 / 0.83 of the memory that the others use, and in a flood new work had taken it. Ruled out: the links (turns), the choice of targets (spread).

--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -48,7 +48,7 @@
     /// Share of the server's memory that brief and long new work may fill; the rest is for what
     /// moves here.
     double briefMemory = 1.0;
-    double longMemory = 0.90;
+    double longMemory = 0.82;
     /// Memory by which each run is expected to grow while others end, in tokens.
     std::uint64_t growthTokens = 300;
     evacuation_options evacuation;
