A run whose target refuses the rest before it was stopped runs on

The target of a move began to leave while the bulk was copied; it refused the rest at once, the run had not been stopped, and the entry cancelled it to go on at the source, which knew no stopped run and refused. Ruled out: the configuration change beside it; a handle used twice. Change: after a refusal the end of the source's stream tells whether the run was stopped; without it within 30 ms the run stays as it is and the copy is freed. The test fails without the change.

--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -25,13 +25,14 @@
 }
 
 /// How far the move of a running generation to another engine has got.
-enum class move_stage { asking, copying, copied, stopping, stopped };
+enum class move_stage { asking, copying, copied, stopping, stopped, refused };
 inline constexpr std::array moveStageNames{
     enum_name<move_stage>{move_stage::asking, "asking"},
     enum_name<move_stage>{move_stage::copying, "copying"},
     enum_name<move_stage>{move_stage::copied, "copied"},
     enum_name<move_stage>{move_stage::stopping, "stopping"},
     enum_name<move_stage>{move_stage::stopped, "stopped"},
+    enum_name<move_stage>{move_stage::refused, "refused"},
 };
 constexpr auto namesOf(move_stage) -> const auto &
 {
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -111,6 +111,10 @@
         if (move.stage == move_stage::stopping) {
             return true;
         }
+        if (move.stage == move_stage::refused) {
+            stayAtSource(request);
+            return true;
+        }
         if (move.handle.empty()) {
             abandon(request);
             return false;
@@ -304,6 +308,9 @@
         case move_stage::stopped:
             goOn(request);
             break;
+        case move_stage::refused:
+            keepRunning(request);
+            break;
         }
     }
     auto onBulkCopied(request_state &request, const run_copied &done) -> void
@@ -351,7 +358,12 @@
             m_timers.set(request.number, m_clock.now() + m_options.againUs);
             break;
         case copy_outcome::no_room:
-            stayAtSource(request);
+            move.stage = move_stage::refused;
+            if (move.sourceEnded) {
+                stayAtSource(request);
+            } else {
+                m_timers.set(request.number, m_clock.now() + m_options.sourceEndUs);
+            }
             break;
         case copy_outcome::no_such_run:
         case copy_outcome::failed:
@@ -364,6 +376,13 @@
             break;
         }
     }
+    /// The target refused the rest before the run was stopped, as one that leaves itself does.
+    auto keepRunning(request_state &request) -> void
+    {
+        request.fullTargets.push_back(request.move->targetId);
+        abandon(request);
+        consider(request);
+    }
     /// The run has stopped and there is no room at the target: the source can still go on with it.
     auto stayAtSource(request_state &request) -> void
     {
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -351,11 +351,31 @@
     f.core.onEvent(run_copied{.copyId = f.sink.servers<copy_run>().back().copyId,
                               .outcome = copy_outcome::no_room,
                               .handle = "h2"});
+    f.failed(fetch_phase::reading);
     REQUIRE(f.sends() == 2);
     CHECK(f.lastSend().serverId == source.serverId);
     CHECK(f.lastSend().goOnFrom->handle == "h2");
 }
 
+TEST_CASE("a run whose target refuses the rest before it is stopped runs on")
+{
+    fixture f;
+    f.open("draft");
+    f.begin();
+    f.events(1, 10);
+    f.leave();
+    f.copied(copy_outcome::copied, "h1");
+    f.copied(copy_outcome::no_room, "");
+    f.advance(31);
+    CHECK(f.sends() == 1);
+    CHECK(f.sink.servers<cancel_forward>().empty());
+    REQUIRE(f.sink.servers<drop_copy>().size() == 1);
+    f.events(11, 12);
+    f.core.onEvent(stream_completed{f.lastSend().exchangeId});
+    CHECK(f.sink.callers<give_end>().size() == 1);
+    CHECK(f.given().ends_with("11;12;"));
+}
+
 TEST_CASE("a run that ends while it is copied frees the copy and is not sent again")
 {
     fixture f;
