Forwarding: log the prompt parts and the progress of a lost run

Cause: the log of a failed exchange named the server but neither the parts of the prompt nor whether its response had begun, so the hypotheses of the incident could not be told apart. Change: request_retried holds begun, run_events and parts.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -325,6 +325,7 @@
         recordLoad(*request, begun.head);
         request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
+        request->run.begun = true;
         if (!std::exchange(request->streamStarted, true)) {
             toCaller(*request, begin_response_stream{.callerId = request->callerId,
                                                      .headers = std::move(begun.head.headers)});
@@ -340,6 +341,7 @@
         if (!request) {
             return;
         }
+        request->run.events += advanced.events.size();
         std::string bytes;
         for (auto &event : advanced.events) {
             if (event.id && *event.id <= request->lastEvent) {
@@ -402,7 +404,10 @@
             {{"server", request->run.serverId},
              {"phase", std::string(nameOf(failed.phase))},
              {"error", failed.error.message()},
-             {"events", static_cast<std::int64_t>(request->lastEvent)}});
+             {"events", static_cast<std::int64_t>(request->lastEvent)},
+             {"begun", std::int64_t{request->run.begun}},
+             {"run_events", static_cast<std::int64_t>(request->run.events)},
+             {"parts", textOf(request->request->generation.parts)}});
         request->excludedServers.push_back(request->run.serverId);
         if (notRun) {
             retryNotRun(*request, false);
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -23,6 +23,9 @@
     std::uint32_t tokens = 0;
 };
 
+/// Ids of the parts in hexadecimal, separated by commas. Thread safe.
+auto textOf(const std::vector<prompt_part> &parts) -> std::string;
+
 /// Parameters of a generation request.
 struct generation_params
 {
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -70,6 +70,9 @@
     std::uint64_t tokens = 0;
     /// Copy from which an earlier run resumes; unset for a new run.
     std::optional<kv_copy> copy;
+    /// Whether the response has begun, and the number of events received since.
+    bool begun = false;
+    std::uint64_t events = 0;
 };
 
 /// State of asking reporters for room.
