Reporting: a failing test for requests that crash engine after engine

A fleet in virtual time joins the real decision cores of entries and reporters to simple engines that crash on one prompt part.

--- /dev/null
+++ b/src/reporting/tests/crashingrequeststests.cpp
@@ -0,0 +1,74 @@
+#include "reporting/tests/virtualfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+using namespace marjoram::testing;
+
+namespace {
+
+constexpr std::uint64_t CRASHING_PART = 66;
+/// Time for evidence to reach all entries, as the users state it.
+constexpr std::int64_t CONTACT_US = 3 * US_PER_SECOND;
+constexpr std::size_t TOLERATED_CRASHES = 5;
+constexpr std::size_t TOLERATED_SENDS = 3;
+
+/// Requests that share their first two parts, one in a few with the crashing part after them.
+struct mixed_traffic
+{
+    virtual_fleet &fleet;
+    std::string route = "draft";
+    /// Position of the crashing part among the shared ones.
+    std::size_t position = 2;
+    random_source random{7};
+    std::vector<std::string> sound = {};
+
+    auto play(std::int64_t ms, std::int64_t soundEveryMs, std::int64_t crashingEveryMs) -> void
+    {
+        constexpr std::int64_t TICK_MS = 10;
+        for (std::int64_t at = 0; at < ms; at += TICK_MS) {
+            if (at % soundEveryMs == 0) {
+                sound.push_back(fleet.open(random() % fleet.entryCount(), {11, 12}, "draft"));
+            }
+            if (at % crashingEveryMs == 0) {
+                std::vector<std::uint64_t> parts{11, 12};
+                parts.insert(parts.begin() + static_cast<std::ptrdiff_t>(position), CRASHING_PART);
+                fleet.open(random() % fleet.entryCount(), parts, route);
+            }
+            fleet.advance(TICK_MS);
+        }
+    }
+};
+
+/// Crashing requests sent to engines later than allowed.
+auto lateSends(const virtual_fleet &fleet) -> std::size_t
+{
+    if (fleet.crashes().size() < TOLERATED_CRASHES) {
+        return 0;
+    }
+    const auto from = fleet.crashes()[TOLERATED_CRASHES - 1] + CONTACT_US;
+    std::size_t count = 0;
+    for (const auto &send : fleet.sends()) {
+        count += send.crashing && send.at > from ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+// Entries judged only servers, so each request with the part found one that had not failed yet.
+TEST_CASE("requests that crash engines stop reaching them after a few crashes"
+          * doctest::should_fail())
+{
+    for (const std::string route : {"draft", "label"}) {
+        for (std::size_t position = 0; position <= 2; ++position) {
+            CAPTURE(route);
+            CAPTURE(position);
+            virtual_fleet fleet({.crashingPart = CRASHING_PART, .datagramLoss = 0.03});
+            mixed_traffic traffic{.fleet = fleet, .route = route, .position = position};
+            fleet.advance(2'000);
+            traffic.play(20'000, 100, 700);
+            CHECK(lateSends(fleet) <= TOLERATED_SENDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/reporting/tests/virtualfleet.h
@@ -0,0 +1,433 @@
+#pragma once
+
+#include "forwarding/forwardingcore.h"
+#include "reporting/reportcore.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace marjoram::testing {
+
+/// Options of virtual_fleet.
+struct virtual_fleet_options
+{
+    std::size_t entries = 4;
+    std::size_t engines = 12;
+    /// Id of the prompt part that crashes each engine that begins a response to it.
+    std::uint64_t crashingPart = 0;
+    /// Time to read a prompt, time between events, and time until a crashed engine is back.
+    std::int64_t prefillMs = 400;
+    std::int64_t eventMs = 30;
+    std::int64_t downMs = 3'000;
+    /// Share of the datagrams between entries and reporters that is lost.
+    double datagramLoss = 0.0;
+    std::uint64_t seed = 1;
+};
+
+/// A send of a request to an engine.
+struct virtual_send
+{
+    time_us at;
+    std::size_t entry = 0;
+    std::string requestId;
+    bool crashing = false;
+};
+
+/// Entries, engines and reporters in virtual time, joined by datagrams. The decision cores are the
+/// real ones; engines and network are simple models.
+class virtual_fleet
+{
+public:
+    explicit virtual_fleet(virtual_fleet_options options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        for (std::size_t i = 0; i < m_options.engines; ++i) {
+            m_engines.push_back(std::make_unique<engine>(*this, i));
+        }
+        for (std::size_t i = 0; i < m_options.entries; ++i) {
+            m_entries.push_back(std::make_unique<entry>(*this, i));
+        }
+    }
+
+    auto now() const -> time_us { return m_time.now; }
+    /// Sends and crashes so far, in order.
+    auto sends() const -> const std::vector<virtual_send> & { return m_sends; }
+    auto crashes() const -> const std::vector<time_us> & { return m_crashes; }
+    /// Ids of the requests whose response ended normally, and of those that were refused.
+    auto completed() const -> const std::set<std::string> & { return m_completed; }
+    auto refused() const -> const std::set<std::string> & { return m_refused; }
+
+    /// Opens a generation with the given prompt parts at an entry; returns its id.
+    auto open(std::size_t entryIndex, std::vector<std::uint64_t> parts, const std::string &route)
+        -> std::string
+    {
+        auto request = std::make_shared<forward_request>();
+        request->callerId = ++m_lastCaller;
+        request->requestId = "r" + std::to_string(m_lastCaller);
+        request->method = "POST";
+        request->target = "/" + route + "/x";
+        request->host = "h";
+        request->callerTimeoutMs = 39'000;
+        request->generation.promptTokens = 1'000;
+        request->generation.maxOutputTokens = 400;
+        for (const auto part : parts) {
+            request->generation.parts.push_back({.id = part, .tokens = 100});
+        }
+        // The last part is the request's own.
+        request->generation.parts.push_back({.id = 1'000'000 + m_lastCaller, .tokens = 100});
+        m_requestIdByCaller.emplace(m_lastCaller, request->requestId);
+        m_entries.at(entryIndex)->core.onRequest({request});
+        return request->requestId;
+    }
+    /// Replaces an entry's process by a new one without memory.
+    auto restartEntry(std::size_t index) -> void
+    {
+        m_entries.at(index) = std::make_unique<entry>(*this, index);
+    }
+    auto advance(std::int64_t ms) -> void
+    {
+        for (std::int64_t i = 0; i < ms; i += STEP_MS) {
+            m_time.now = m_time.now + STEP_MS * US_PER_MS;
+            step();
+        }
+    }
+    /// Crashes an engine although no request is to blame.
+    auto crashEngine(std::size_t index) -> void { m_engines.at(index)->crash(); }
+    auto entryCount() const -> std::size_t { return m_entries.size(); }
+
+private:
+    static constexpr std::int64_t STEP_MS = 5;
+    static constexpr std::int64_t DATAGRAM_DELAY_MS = 5;
+    static constexpr std::int64_t REPORT_REQUEST_MS = 1'000;
+    static constexpr std::int64_t POLL_MS = 80;
+    static constexpr std::uint64_t EVENTS = 40;
+    static constexpr std::uint16_t ENTRY_PORT = 7;
+    static constexpr std::uint16_t ENGINE_PORT = 80;
+
+    struct run_state
+    {
+        std::size_t entry = 0;
+        std::uint64_t exchangeId = 0;
+        forward_request_ptr request;
+        time_us nextAt;
+        std::uint64_t events = 0;
+        bool begun = false;
+    };
+
+    struct engine
+    {
+        engine(virtual_fleet &owner, std::size_t number)
+            : fleet(owner)
+            , index(number)
+            , address{"10.0.0." + std::to_string(number + 1), ENGINE_PORT}
+            , reporter({.pool = "engines"}, virtual_clock_source(&owner.m_time), toText(address),
+                       *this)
+        { }
+        auto id() const -> std::string { return "e" + std::to_string(index); }
+        auto up() const -> bool { return fleet.now() >= upAt; }
+        auto crash() -> void
+        {
+            upAt = fleet.now() + fleet.m_options.downMs * US_PER_MS;
+            ++starts;
+            for (auto &run : std::exchange(runs, {})) {
+                fleet.fail(run.entry, run.exchangeId, fetch_phase::reading,
+                           make_error_code(std::errc::connection_reset));
+            }
+        }
+        /// Called by the report_core.
+        auto send(const endpoint &to, const frame &message) -> void
+        {
+            fleet.deliver([this, to, message] {
+                for (auto &one : fleet.m_entries) {
+                    if (one->address == to) {
+                        one->onDatagram(index, message);
+                    }
+                }
+            });
+        }
+        auto poll() -> void
+        {
+            if (!up()) {
+                reporter.onPollFailed();
+                return;
+            }
+            server_report report{.running = static_cast<std::uint32_t>(runs.size()),
+                                 .usedTokens = 1'500 * runs.size(),
+                                 .capacityTokens = 34'000,
+                                 .bornUnixMs = starts};
+            reporter.onReport(report);
+        }
+
+        virtual_fleet &fleet;
+        std::size_t index;
+        endpoint address;
+        time_us upAt;
+        std::int64_t starts = 1;
+        std::vector<run_state> runs;
+        report_core<virtual_clock_source, engine> reporter;
+    };
+
+    struct entry
+    {
+        entry(virtual_fleet &owner, std::size_t number)
+            : fleet(owner)
+            , index(number)
+            , address{"10.0.1." + std::to_string(number + 1), ENTRY_PORT}
+            , core({.dataCentre = "d", .initialEntryCount = 1}, virtual_clock_source(&owner.m_time),
+                   owner.m_options.seed * 100 + number, directory, *this)
+        {
+            core.onRouteTable(fleet.table());
+            core.onServerList(fleet.list());
+        }
+
+        // --- called by the forwarding_core
+
+        auto toCaller(const forward_action &action) -> void
+        {
+            if (const auto *failed = std::get_if<send_failure>(&action)) {
+                if (failed->ran == marjoram::run_state::not_run) {
+                    fleet.m_refused.insert(fleet.m_requestIdByCaller.at(failed->callerId));
+                }
+            } else if (const auto *ended = std::get_if<end_response_stream>(&action)) {
+                fleet.m_completed.insert(fleet.m_requestIdByCaller.at(ended->callerId));
+            }
+        }
+        auto toServer(const server_command &command) -> void
+        {
+            if (const auto *send = std::get_if<send_request>(&command)) {
+                fleet.startRun(index, *send);
+            } else if (const auto *cancelled = std::get_if<cancel_exchange>(&command)) {
+                fleet.cancel(index, cancelled->exchangeId);
+            }
+        }
+        auto toReporter(const reporter_command &command) -> void
+        {
+            if (const auto *room = std::get_if<request_room>(&command)) {
+                toEngine(fleet.engineNumber(room->serverId),
+                         room_request_frame{.askId = room->askId,
+                                            .requestId = room->requestId,
+                                            .expectedTokens = room->expectedTokens,
+                                            .promptsAhead = room->promptsAhead,
+                                            .outputTokens = room->outputTokens});
+            }
+        }
+        auto log(log_event, const std::string &, const std::vector<log_field> &) -> void { }
+        auto observe(latency_kind, std::int64_t) -> void { }
+
+        // --- datagrams
+
+        auto toEngine(std::size_t number, const frame &message) -> void
+        {
+            fleet.deliver([&fleet = fleet, from = address, number, message] {
+                auto &reporter = fleet.m_engines.at(number)->reporter;
+                if (std::holds_alternative<report_request_frame>(message)) {
+                    reporter.onReportRequest(from);
+                } else if (const auto *room = std::get_if<room_request_frame>(&message)) {
+                    reporter.onRoomRequest(from, *room);
+                }
+            });
+        }
+        auto onDatagram(std::size_t number, const frame &message) -> void
+        {
+            const auto id = fleet.m_engines.at(number)->id();
+            if (const auto *report = std::get_if<server_report_frame>(&message)) {
+                core.onReport(id, reportOf(*report));
+            } else if (const auto *reply = std::get_if<room_reply_frame>(&message)) {
+                core.onRoomReply({.askId = reply->askId,
+                                  .verdict = reply->verdict,
+                                  .serverId = id,
+                                  .report = reportOf(reply->report)});
+            }
+        }
+        static auto reportOf(const server_report_frame &frame) -> server_report
+        {
+            return {.answering = frame.answering,
+                    .running = frame.running,
+                    .usedTokens = frame.usedTokens,
+                    .capacityTokens = frame.capacityTokens,
+                    .bornUnixMs = frame.bornUnixMs,
+                    .listeners = frame.listeners};
+        }
+
+        virtual_fleet &fleet;
+        std::size_t index;
+        endpoint address;
+        server_directory directory{{}};
+        forwarding_core<sampled_least_loaded, virtual_clock_source, entry> core;
+    };
+
+    auto table() const -> route_table_ptr
+    {
+        route_table_content content{.version = 1};
+        const auto add = [&](const std::string &name, std::uint32_t attempts, bool resumable) {
+            content.routes.push_back({.name = name,
+                                      .host = "h",
+                                      .pathPrefix = "/" + name + "/",
+                                      .kind = work_kind::generation,
+                                      .timeoutMs = 39'000,
+                                      .latencyTargetMs = 4'000,
+                                      .attempts = attempts,
+                                      .pools = {{.pool = "engines"}},
+                                      .resumable = resumable});
+        };
+        add("draft", 1, false);
+        add("label", 2, true);
+        content.pools.push_back(
+            {.name = "engines",
+             .engine = engine_traits{
+                 .slots = 24, .memoryTokens = 34'000, .moves = true, .tokensPerEvent = 4}});
+        return std::make_shared<const route_table>(std::move(content));
+    }
+    auto list() const -> std::vector<server_entry>
+    {
+        std::vector<server_entry> out;
+        for (const auto &one : m_engines) {
+            out.push_back({.id = one->id(),
+                           .pool = "engines",
+                           .address = one->address,
+                           .dataCentre = "d",
+                           .slots = 24});
+        }
+        return out;
+    }
+    static auto engineNumber(const std::string &id) -> std::size_t
+    {
+        return std::stoul(id.substr(1));
+    }
+    auto isCrashing(const forward_request &request) const -> bool
+    {
+        const auto &parts = request.generation.parts;
+        return std::any_of(parts.begin(), parts.end(), [this](const prompt_part &part) {
+            return part.id == m_options.crashingPart;
+        });
+    }
+    auto startRun(std::size_t entryIndex, const send_request &send) -> void
+    {
+        auto &to = *m_engines.at(engineNumber(send.serverId));
+        if (!to.up()) {
+            fail(entryIndex, send.exchangeId, fetch_phase::connecting,
+                 make_error_code(std::errc::connection_refused));
+            return;
+        }
+        m_sends.push_back({.at = now(),
+                           .entry = entryIndex,
+                           .requestId = send.request->requestId,
+                           .crashing = isCrashing(*send.request)});
+        to.runs.push_back({.entry = entryIndex,
+                           .exchangeId = send.exchangeId,
+                           .request = send.request,
+                           .nextAt = now() + m_options.prefillMs * US_PER_MS,
+                           .events = send.resumeAfter.value_or(0)});
+    }
+    auto cancel(std::size_t entryIndex, std::uint64_t exchangeId) -> void
+    {
+        for (auto &one : m_engines) {
+            std::erase_if(one->runs, [&](const run_state &run) {
+                return run.entry == entryIndex && run.exchangeId == exchangeId;
+            });
+        }
+    }
+    /// Passes an event to an entry a little later, as the network does.
+    auto later(std::function<void()> action) -> void
+    {
+        m_pending.emplace_back(now() + DATAGRAM_DELAY_MS * US_PER_MS, std::move(action));
+    }
+    auto deliver(std::function<void()> action) -> void
+    {
+        const auto drawn = static_cast<double>(m_random() >> 11) * 0x1.0p-53;
+        if (drawn >= m_options.datagramLoss) {
+            later(std::move(action));
+        }
+    }
+    auto toEntry(std::size_t entryIndex, server_event event) -> void
+    {
+        auto *target = m_entries.at(entryIndex).get();
+        later([this, entryIndex, target, event] {
+            // The process may have been replaced in the meantime.
+            if (m_entries.at(entryIndex).get() == target) {
+                target->core.onEvent(event);
+            }
+        });
+    }
+    auto fail(std::size_t entryIndex, std::uint64_t exchangeId, fetch_phase phase,
+              std::error_code error) -> void
+    {
+        toEntry(entryIndex,
+                exchange_failed{.exchangeId = exchangeId, .phase = phase, .error = error});
+    }
+    auto step() -> void
+    {
+        while (!m_pending.empty() && m_pending.front().first <= now()) {
+            const auto action = std::move(m_pending.front().second);
+            m_pending.pop_front();
+            action();
+        }
+        const auto ms = now().value / US_PER_MS;
+        for (auto &one : m_engines) {
+            if (ms % POLL_MS == 0) {
+                one->poll();
+            }
+            stepRuns(*one);
+        }
+        for (auto &one : m_entries) {
+            if (ms % REPORT_REQUEST_MS == 0) {
+                for (std::size_t i = 0; i < m_engines.size(); ++i) {
+                    one->toEngine(i, report_request_frame{.host = "entry"});
+                }
+            }
+            const auto next = one->core.nextTimer();
+            if (next && *next <= now()) {
+                one->core.onTimer();
+            }
+        }
+    }
+    auto stepRuns(engine &on) -> void
+    {
+        for (std::size_t i = 0; i < on.runs.size();) {
+            auto &run = on.runs[i];
+            if (run.nextAt > now()) {
+                ++i;
+                continue;
+            }
+            run.nextAt = now() + m_options.eventMs * US_PER_MS;
+            if (!std::exchange(run.begun, true)) {
+                toEntry(run.entry, stream_begun{.exchangeId = run.exchangeId});
+                if (isCrashing(*run.request)) {
+                    m_crashes.push_back(now());
+                    on.crash();
+                    return;
+                }
+                ++i;
+                continue;
+            }
+            ++run.events;
+            toEntry(run.entry, stream_advanced{.exchangeId = run.exchangeId,
+                                               .events = {{.id = run.events, .bytes = "x"}}});
+            if (run.events >= EVENTS) {
+                toEntry(run.entry, stream_completed{run.exchangeId});
+                on.runs.erase(on.runs.begin() + static_cast<std::ptrdiff_t>(i));
+                continue;
+            }
+            ++i;
+        }
+    }
+
+    virtual_fleet_options m_options;
+    virtual_clock_source::state m_time;
+    random_source m_random;
+    std::vector<std::unique_ptr<engine>> m_engines;
+    std::vector<std::unique_ptr<entry>> m_entries;
+    std::deque<std::pair<time_us, std::function<void()>>> m_pending;
+    std::vector<virtual_send> m_sends;
+    std::vector<time_us> m_crashes;
+    std::set<std::string> m_completed;
+    std::set<std::string> m_refused;
+    std::map<std::uint64_t, std::string> m_requestIdByCaller;
+    std::uint64_t m_lastCaller = 0;
+};
+
+} // namespace marjoram::testing
