Quarantine of requests that crash servers

Cause: entries judged servers only. Change: runs lost near their start on servers that crashed are evidence; the traits that those of three crashes have in common, less those of survivors, are refused at once. Reporters keep evidence and pass it on; entries that start ask for it, and give it back to reporters that restarted. Why it works: the culprit is the only trait that is in all lost runs of several crashes and in no survivor, whoever sent it and to whichever entry.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/crashquarantine.h"
 #include "forwarding/entrycount.h"
 #include "forwarding/forwardingoptions.h"
 #include "forwarding/requestadmission.h"
@@ -30,6 +31,7 @@
         , m_admission(m_options, seed + 2)
         , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
+        , m_quarantine(m_options.quarantine, clock, seed + 3, directory, *this)
     {
         static_assert(forwarding_sink<Sink>);
         static_assert(move_host<forwarding_core>);
@@ -43,6 +45,7 @@
         const auto changes = m_directory.onServerList(entries, m_clock.now());
         for (const auto &id : changes.joined) {
             logJoined(m_directory.find(id)->entry, "published");
+            m_quarantine.onServerStarted(id);
         }
         for (const auto &id : changes.leaving) {
             onLeaving(id, "published");
@@ -53,6 +56,7 @@
         for (const auto &id : changes.gone) {
             m_sink.log(log_event::server_gone, {}, {{"server", id}});
         }
+        endQuarantinedRequests();
     }
     auto onAnnounced(const server_entry &entry) -> void
     {
@@ -64,6 +68,9 @@
     {
         m_entryCount.onReport(report.listeners, m_clock.now());
         m_placer.setEntryCount(m_entryCount.count());
+        if (!report.answering) {
+            m_quarantine.onServerDown(id);
+        }
         const auto becameLeaving = m_directory.onReport(id, std::move(report), m_clock.now());
         const auto *view = m_directory.find(id);
         if (becameLeaving) {
@@ -71,7 +78,15 @@
         } else if (view && view->leaving()) {
             moveRunsOf(id);
         }
+        endQuarantinedRequests();
+    }
+    /// Takes what other entries have seen of their runs.
+    auto onObservations(const std::vector<run_observation> &observations) -> void
+    {
+        m_quarantine.onObservations(observations);
+        endQuarantinedRequests();
     }
+    auto quarantines() const -> std::size_t { return m_quarantine.signatures().size(); }
     /// From now on refuses requests that may not finish before `stopAt`. Idempotent.
     auto drain(time_us stopAt) -> void { m_admission.setStopTime(stopAt); }
     auto drained() const -> bool { return m_requests.empty(); }
@@ -87,6 +102,10 @@
             refuse(incoming.callerId, incoming.requestId, reason, drawRetryAfterMs());
             return;
         }
+        if (const auto until = m_quarantine.quarantinedUntil(incoming)) {
+            refuse(incoming.callerId, incoming.requestId, failure::quarantined, msUntil(*until));
+            return;
+        }
         m_placer.placeOrWait(admit(opened.request));
     }
     auto onCallerDisconnected(std::uint64_t callerId) -> void
@@ -121,18 +140,21 @@
     {
         std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
                    std::move(event));
+        endQuarantinedRequests();
     }
 
     // --- time
 
     auto nextTimer() const -> std::optional<time_us>
     {
-        return earliest(m_timers.next(), earliest(m_placer.nextTimer(), m_mover.nextTimer()));
+        return earliest(earliest(m_timers.next(), m_quarantine.nextTimer()),
+                        earliest(m_placer.nextTimer(), m_mover.nextTimer()));
     }
     auto onTimer() -> void
     {
         m_mover.onTimer();
         m_placer.onTimer();
+        m_quarantine.onTimer();
         while (const auto key = m_timers.popDue(m_clock.now())) {
             auto *request = findRequest(key->number);
             if (!request) {
@@ -149,7 +171,7 @@
         }
     }
 
-    // --- called by the placer and the mover
+    // --- called by the placer, the mover and the quarantine
 
     auto toReporter(reporter_command command) -> void { m_sink.toReporter(std::move(command)); }
     auto nextAskId() -> std::uint64_t { return ++m_lastAskId; }
@@ -163,6 +185,11 @@
     {
         const auto now = m_clock.now();
         m_placer.cancelPlacement(request);
+        const auto until = copy ? std::nullopt : m_quarantine.quarantinedUntil(*request.request);
+        if (until) {
+            failQuarantined(request, *until);
+            return;
+        }
         request.phase = request.streamStarted ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
                        .serverId = serverId,
@@ -228,7 +255,14 @@
     {
         m_sink.log(event, request.request->requestId, std::move(fields));
     }
+    auto logEvent(log_event event, const std::string &requestId, std::vector<log_field> fields)
+        -> void
+    {
+        m_sink.log(event, requestId, std::move(fields));
+    }
     auto observeMove(std::int64_t us) -> void { observe(latency_kind::move, us); }
+    /// The requests concerned end once the current event has been handled.
+    auto onQuarantineChanged() -> void { m_quarantineChanged = true; }
 
 private:
     enum class timer_kind { deadline, hedge };
@@ -281,6 +315,7 @@
             return;
         }
         ++request->attempts;
+        m_quarantine.onRunProgress(*request, true);
         constexpr int SERVER_ERROR = 500;
         const auto failed = answered.head.status >= SERVER_ERROR;
         recordOutcome(*request, !failed);
@@ -342,6 +377,7 @@
             return;
         }
         request->run.events += advanced.events.size();
+        m_quarantine.onRunProgress(*request, false);
         std::string bytes;
         for (auto &event : advanced.events) {
             if (event.id && *event.id <= request->lastEvent) {
@@ -376,6 +412,7 @@
         }
         m_mover.abandon(*request);
         endExchange(*request);
+        m_quarantine.onRunProgress(*request, true);
         recordOutcome(*request, true);
         log(log_event::request_answered, *request,
             {{"server", request->run.serverId},
@@ -407,12 +444,16 @@
              {"events", static_cast<std::int64_t>(request->lastEvent)},
              {"begun", std::int64_t{request->run.begun}},
              {"run_events", static_cast<std::int64_t>(request->run.events)},
-             {"parts", textOf(request->request->generation.parts)}});
+             {"traits", hexText(traitsOf(*request->request))}});
         request->excludedServers.push_back(request->run.serverId);
         if (notRun) {
+            if (failed.error == std::errc::connection_refused) {
+                m_quarantine.onServerDown(std::string(request->run.serverId));
+            }
             retryNotRun(*request, false);
             return;
         }
+        m_quarantine.onRunLost(*request);
         request->attempts += request->phase == request_phase::sent ? 1 : 0;
         if (mayRetry(*request) && retry(*request, "broken")) {
             return;
@@ -597,6 +638,43 @@
                        notRun ? std::optional(drawRetryAfterMs()) : std::nullopt);
         close(request);
     }
+    auto failQuarantined(request_state &request, time_us until) -> void
+    {
+        if (request.streamStarted) {
+            abortStream(request, failure::quarantined);
+            return;
+        }
+        const auto notRun = request.attempts == 0 && request.phase != request_phase::sent;
+        failWithReason(request, failure::quarantined,
+                       notRun ? run_state::not_run : run_state::unknown,
+                       notRun ? std::optional(msUntil(until)) : std::nullopt);
+        close(request);
+    }
+    /// Ends the quarantined requests that no server has begun to answer. At-most-once requests that
+    /// were sent continue: cancelling one would leave its outcome unknown.
+    auto endQuarantinedRequests() -> void
+    {
+        if (!std::exchange(m_quarantineChanged, false)) {
+            return;
+        }
+        std::vector<std::pair<request_state *, time_us>> affected;
+        for (const auto &[number, request] : m_requests) {
+            const auto unsent = request->phase == request_phase::waiting
+                                || request->phase == request_phase::asking;
+            const auto unanswered
+                = request->phase == request_phase::sent && request->isGeneration();
+            const auto until = (unsent || unanswered) && !request->run.copy
+                                   ? m_quarantine.quarantinedUntil(*request->request)
+                                   : std::nullopt;
+            if (until) {
+                affected.emplace_back(request.get(), *until);
+            }
+        }
+        for (const auto &[request, until] : affected) {
+            failQuarantined(*request, until);
+        }
+    }
+    auto msUntil(time_us when) const -> std::int64_t { return (when - m_clock.now()) / US_PER_MS; }
     auto abortStream(request_state &request, failure reason) -> void
     {
         log(log_event::request_failed, request,
@@ -667,6 +745,8 @@
     request_admission m_admission;
     request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
+    crash_quarantine<Clock, forwarding_core> m_quarantine;
+    bool m_quarantineChanged = false;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByExchange;
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -21,6 +21,9 @@
     moves_ordered,
     rooms_requested,
     requests_open,
+    observations_shared,
+    quarantined,
+    quarantines,
     servers_known,
     table_version,
 };
@@ -34,6 +37,9 @@
     enum_name<forwarding_metric>{forwarding_metric::moves_ordered, "run_copies_ordered"},
     enum_name<forwarding_metric>{forwarding_metric::rooms_requested, "room_asked"},
     enum_name<forwarding_metric>{forwarding_metric::requests_open, "forwards_open"},
+    enum_name<forwarding_metric>{forwarding_metric::observations_shared, "run_observations_shared"},
+    enum_name<forwarding_metric>{forwarding_metric::quarantined, "requests_quarantined"},
+    enum_name<forwarding_metric>{forwarding_metric::quarantines, "quarantines_active"},
     enum_name<forwarding_metric>{forwarding_metric::servers_known, "servers_known"},
     enum_name<forwarding_metric>{forwarding_metric::table_version, "route_table_version"},
 };
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/crashquarantine.h"
 #include "forwarding/forwardtypes.h"
 #include "forwarding/runmover.h"
 #include "limits/retrywindow.h"
@@ -14,6 +15,7 @@
     /// Number of entries assumed to share the retry budget until reports give the real number.
     std::uint32_t initialEntryCount = 32;
     run_mover_options moves;
+    crash_quarantine_options quarantine;
     /// Longest wait of a generation for room, as a share of its latency target. Beyond an eighth of
     /// the target, retrying later serves the caller better.
     double maxWaitShare = 0.12;
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -37,7 +37,13 @@
 {
     server_entry entry;
 };
-using report_event = std::variant<server_reported, room_replied, server_announced>;
+/// What other entries have seen of their runs.
+struct observations_received
+{
+    std::vector<run_observation> observations;
+};
+using report_event
+    = std::variant<server_reported, room_replied, server_announced, observations_received>;
 
 using directory_event = std::variant<table_changed, servers_changed>;
 
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -5,6 +5,7 @@
 #include "framework/http/httptypes.h"
 #include "innerprotocol/reportframes.h"
 #include "manifest/routetable.h"
+#include "quarantine/runobservation.h"
 #include "serverviews/serverentry.h"
 
 #include <cstdint>
@@ -23,9 +24,6 @@
     std::uint32_t tokens = 0;
 };
 
-/// Ids of the parts in hexadecimal, separated by commas. Thread safe.
-auto textOf(const std::vector<prompt_part> &parts) -> std::string;
-
 /// Parameters of a generation request.
 struct generation_params
 {
@@ -64,6 +62,13 @@
 };
 using forward_request_ptr = std::shared_ptr<const forward_request>;
 
+/// What a request may share with others that crash servers: the parts of its prompt, or hashes of
+/// target and body if it has none. At most MAX_TRAITS. Thread safe.
+auto traitsOf(const forward_request &request) -> std::vector<std::uint64_t>;
+inline constexpr std::size_t MAX_TRAITS = 16;
+/// Traits in hexadecimal, separated by commas. Thread safe.
+auto hexText(const std::vector<std::uint64_t> &traits) -> std::string;
+
 // --- callers to decisions
 
 struct forward_requested
@@ -163,7 +168,12 @@
     std::string requestId;
     move_note note = move_note::ended;
 };
-using reporter_command = std::variant<request_room, notify_move>;
+/// Passes observations on to the other entries.
+struct share_observations
+{
+    std::vector<run_observation> observations;
+};
+using reporter_command = std::variant<request_room, notify_move, share_observations>;
 
 /// Sends a request to a backend server.
 struct send_request
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -61,6 +61,9 @@
     {
         if (std::holds_alternative<request_room>(command)) {
             metrics.add(forwarding_metric::rooms_requested);
+        } else if (const auto *shared = std::get_if<share_observations>(&command)) {
+            metrics.add(forwarding_metric::observations_shared,
+                        static_cast<std::int64_t>(shared->observations.size()));
         }
         if (reporterCommands.push(std::move(command))) {
             LOG(ERROR) << "reporter command dropped: backlog limit of the reports duty exceeded";
@@ -82,6 +85,9 @@
         } else if (std::holds_alternative<abort_response_stream>(action)) {
             metrics.add(forwarding_metric::cut);
         } else if (const auto *failed = std::get_if<send_failure>(&action)) {
+            if (failed->reason == failure::quarantined) {
+                metrics.add(forwarding_metric::quarantined);
+            }
             metrics.add(failed->ran == run_state::not_run ? forwarding_metric::refused
                                                           : forwarding_metric::failed);
         }
@@ -113,6 +119,7 @@
     {
         metrics.set(forwarding_metric::requests_open,
                     static_cast<std::int64_t>(core.openRequests()));
+        metrics.set(forwarding_metric::quarantines, static_cast<std::int64_t>(core.quarantines()));
         state.drained = state.draining && core.drained();
         const auto next = core.nextTimer();
         if (next == armedFor) {
@@ -219,6 +226,8 @@
         m_impl->core.onReport(reported->serverId, std::move(reported->report));
     } else if (auto *replied = std::get_if<room_replied>(&event)) {
         m_impl->core.onRoomReply(std::move(*replied));
+    } else if (const auto *received = std::get_if<observations_received>(&event)) {
+        m_impl->core.onObservations(received->observations);
     } else {
         m_impl->core.onAnnounced(std::get<server_announced>(event).entry);
     }
--- a/src/framework/eventlog/eventlog.h
+++ b/src/framework/eventlog/eventlog.h
@@ -40,6 +40,8 @@
     request_answered,
     request_failed,
     caller_left,
+    run_lost_in_crash,
+    quarantine_changed,
     lines_dropped,
 };
 inline constexpr std::array logEventNames{
@@ -66,6 +68,8 @@
     enum_name<log_event>{log_event::request_answered, "request_answered"},
     enum_name<log_event>{log_event::request_failed, "request_failed"},
     enum_name<log_event>{log_event::caller_left, "caller_left"},
+    enum_name<log_event>{log_event::run_lost_in_crash, "run_lost_in_crash"},
+    enum_name<log_event>{log_event::quarantine_changed, "quarantine_changed"},
     enum_name<log_event>{log_event::lines_dropped, "lines_dropped"},
 };
 constexpr auto namesOf(log_event) -> const auto &
--- a/src/framework/global/failure.h
+++ b/src/framework/global/failure.h
@@ -45,6 +45,7 @@
     owner_amnesia,
     superseded,
     cancelled,
+    quarantined,
 };
 inline constexpr std::array failureNames{
     enum_name<failure>{failure::none, "none"},
@@ -74,6 +75,7 @@
     enum_name<failure>{failure::owner_amnesia, "owner_amnesia"},
     enum_name<failure>{failure::superseded, "superseded"},
     enum_name<failure>{failure::cancelled, "cancelled"},
+    enum_name<failure>{failure::quarantined, "quarantined"},
 };
 constexpr auto namesOf(failure) -> const auto &
 {
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quarantine/runobservation.h"
 #include "serverviews/serverentry.h"
 
 #include <cstdint>
@@ -98,6 +99,43 @@
     }
 };
 
+/// Entry to reporter: asks for all observations that it keeps.
+struct observations_request_frame
+{
+    std::string host;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.host);
+    }
+};
+/// Entry to a few reporters, and reporter to its entries: what became of runs.
+struct run_observations_frame
+{
+    std::vector<run_observation> observations;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.observations);
+    }
+};
+/// Spreads observations over frames that each fit into a datagram. Thread safe.
+inline auto framesOf(const std::vector<run_observation> &observations)
+    -> std::vector<run_observations_frame>
+{
+    constexpr std::size_t OBSERVATIONS_PER_FRAME = 6;
+    std::vector<run_observations_frame> out;
+    for (const auto &seen : observations) {
+        if (out.empty() || out.back().observations.size() >= OBSERVATIONS_PER_FRAME) {
+            out.emplace_back();
+        }
+        out.back().observations.push_back(seen);
+    }
+    return out;
+}
+
 /// Entry to reporter: whether a generation may be sent to the backend server now.
 struct room_request_frame
 {
--- /dev/null
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -0,0 +1,242 @@
+#include "quarantine/crashevidence.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace marjoram {
+
+namespace {
+
+/// A cause that leaves fewer crashes unexplained than a new cause needs must explain this many in
+/// all, and this many that no more specific cause explains.
+constexpr std::size_t MIN_CRASHES_OF_WIDER_CAUSE = 5;
+constexpr std::size_t MIN_UNEXPLAINED_OF_WIDER_CAUSE = 2;
+constexpr std::size_t SUPPORTING_OBSERVATION_LIMIT = 32;
+
+auto sorted(std::vector<std::uint64_t> traits) -> std::vector<std::uint64_t>
+{
+    std::sort(traits.begin(), traits.end());
+    traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
+    return traits;
+}
+
+auto contains(const std::vector<std::uint64_t> &traits, std::uint64_t trait) -> bool
+{
+    return std::binary_search(traits.begin(), traits.end(), trait);
+}
+
+auto containsAll(const std::vector<std::uint64_t> &traits, const std::vector<std::uint64_t> &wanted)
+    -> bool
+{
+    return std::includes(traits.begin(), traits.end(), wanted.begin(), wanted.end());
+}
+
+} // namespace
+
+auto crash_evidence::add(const run_observation &seen, time_us now) -> bool
+{
+    dropExpired(now);
+    const auto at = now + -seen.ageMs * US_PER_MS;
+    const auto isNew
+        = seen.fate == run_fate::survived ? addSurvivor(seen, at) : addLostRun(seen, at);
+    if (isNew) {
+        updateSignatures();
+    }
+    return isNew;
+}
+
+auto crash_evidence::suspectsAmong(const std::vector<std::uint64_t> &traits) const
+    -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> out;
+    for (const auto trait : m_lostRuns.empty() ? std::vector<std::uint64_t>{} : traits) {
+        const auto suspect
+            = std::any_of(m_lostRuns.begin(), m_lostRuns.end(), [this, trait](const lost_run &run) {
+                  return contains(run.traits, trait) && !isCleared(trait, run.at);
+              });
+        if (suspect) {
+            out.push_back(trait);
+        }
+    }
+    return out;
+}
+
+auto crash_evidence::quarantinedUntil(const std::vector<std::uint64_t> &traits, time_us now) const
+    -> std::optional<time_us>
+{
+    std::optional<time_us> out;
+    const auto own = sorted(m_signatures.empty() ? std::vector<std::uint64_t>{} : traits);
+    for (const auto &signature : m_signatures) {
+        if (signature.until > now && containsAll(own, signature.traits)) {
+            out = std::max(out.value_or(signature.until), signature.until);
+        }
+    }
+    return out;
+}
+
+auto crash_evidence::supportingObservations(time_us now) const -> std::vector<run_observation>
+{
+    std::vector<run_observation> out;
+    for (auto run = m_lostRuns.rbegin(); run != m_lostRuns.rend(); ++run) {
+        if (out.size() < SUPPORTING_OBSERVATION_LIMIT && quarantinedUntil(run->traits, now)) {
+            out.push_back({.fate = run_fate::lost_in_crash,
+                           .serverId = run->serverId,
+                           .requestId = run->requestId,
+                           .traits = run->traits,
+                           .ageMs = (now - run->at) / US_PER_MS});
+        }
+    }
+    return out;
+}
+
+auto crash_evidence::addLostRun(const run_observation &seen, time_us at) -> bool
+{
+    const auto known = std::any_of(m_lostRuns.begin(), m_lostRuns.end(), [&](const lost_run &run) {
+        return run.requestId == seen.requestId && run.serverId == seen.serverId;
+    });
+    if (known || seen.traits.empty()) {
+        return false;
+    }
+    if (m_lostRuns.size() >= m_options.lostRunLimit) {
+        dropOldest();
+    }
+    m_lostRuns.push_back({.serverId = seen.serverId,
+                          .requestId = seen.requestId,
+                          .traits = sorted(seen.traits),
+                          .at = at,
+                          .crash = crashOf(seen.serverId, at)});
+    return true;
+}
+
+auto crash_evidence::addSurvivor(const run_observation &seen, time_us at) -> bool
+{
+    auto isNew = false;
+    for (const auto trait : seen.traits) {
+        const auto [found, inserted] = m_survivedAt.try_emplace(trait, at);
+        isNew = isNew || inserted || found->second < at;
+        found->second = std::max(found->second, at);
+    }
+    if (m_survivedAt.size() > m_options.survivorLimit) {
+        m_survivedAt.erase(
+            std::min_element(m_survivedAt.begin(), m_survivedAt.end(),
+                             [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+    return isNew;
+}
+
+/// Drops the oldest lost run that no signature rests on, or the oldest one.
+auto crash_evidence::dropOldest() -> void
+{
+    const auto unused
+        = std::find_if(m_lostRuns.begin(), m_lostRuns.end(), [this](const lost_run &run) {
+              return std::none_of(m_signatures.begin(), m_signatures.end(),
+                                  [&run](const crash_signature &signature) {
+                                      return containsAll(run.traits, signature.traits);
+                                  });
+          });
+    m_lostRuns.erase(unused != m_lostRuns.end() ? unused : m_lostRuns.begin());
+}
+
+auto crash_evidence::dropExpired(time_us now) -> void
+{
+    std::erase_if(m_lostRuns, [&](const lost_run &run) {
+        const auto cleared
+            = std::all_of(run.traits.begin(), run.traits.end(),
+                          [&](std::uint64_t trait) { return isCleared(trait, run.at); });
+        return cleared || now - run.at > m_options.retentionUs;
+    });
+    std::erase_if(m_survivedAt, [&](const auto &survivor) {
+        return now - survivor.second > m_options.retentionUs;
+    });
+}
+
+auto crash_evidence::isCleared(std::uint64_t trait, time_us at) const -> bool
+{
+    const auto found = m_survivedAt.find(trait);
+    return found != m_survivedAt.end() && found->second >= at;
+}
+
+auto crash_evidence::crashOf(const std::string &serverId, time_us at) -> std::uint64_t
+{
+    const auto same
+        = std::find_if(m_lostRuns.rbegin(), m_lostRuns.rend(), [&](const lost_run &run) {
+              return run.serverId == serverId && std::abs(run.at - at) <= m_options.sameCrashUs;
+          });
+    return same != m_lostRuns.rend() ? same->crash : ++m_lastCrash;
+}
+
+/// What the runs with a trait have in common, since a run with the trait last survived.
+auto crash_evidence::hypothesisFor(std::uint64_t trait) const -> hypothesis
+{
+    hypothesis out;
+    std::optional<time_us> earliestAt;
+    for (const auto &run : m_lostRuns) {
+        if (!contains(run.traits, trait) || isCleared(trait, run.at)) {
+            continue;
+        }
+        if (out.crashes.empty()) {
+            out.traits = run.traits;
+        } else {
+            std::erase_if(out.traits,
+                          [&run](std::uint64_t other) { return !contains(run.traits, other); });
+        }
+        out.crashes.insert(run.crash);
+        out.latestAt = std::max(out.latestAt, run.at);
+        earliestAt = std::min(earliestAt.value_or(run.at), run.at);
+    }
+    std::erase_if(out.traits, [&](std::uint64_t other) {
+        return isCleared(other, earliestAt.value_or(time_us{}));
+    });
+    return out;
+}
+
+auto crash_evidence::hypotheses() const -> std::vector<hypothesis>
+{
+    std::set<std::uint64_t> traits;
+    for (const auto &run : m_lostRuns) {
+        traits.insert(run.traits.begin(), run.traits.end());
+    }
+    std::vector<hypothesis> out;
+    for (const auto trait : traits) {
+        auto one = hypothesisFor(trait);
+        const auto known = std::any_of(out.begin(), out.end(), [&one](const hypothesis &other) {
+            return other.traits == one.traits && other.crashes == one.crashes;
+        });
+        if (one.crashes.size() >= m_options.crashesToQuarantine && !known) {
+            out.push_back(std::move(one));
+        }
+    }
+    // The most specific cause first: a trait that is shared with it explains nothing more.
+    std::stable_sort(out.begin(), out.end(), [](const hypothesis &a, const hypothesis &b) {
+        return a.traits.size() != b.traits.size() ? a.traits.size() > b.traits.size()
+                                                  : a.crashes.size() > b.crashes.size();
+    });
+    return out;
+}
+
+auto crash_evidence::updateSignatures() -> void
+{
+    m_signatures.clear();
+    std::set<std::uint64_t> explained;
+    for (const auto &cause : hypotheses()) {
+        const auto unexplained = static_cast<std::size_t>(
+            std::count_if(cause.crashes.begin(), cause.crashes.end(),
+                          [&](std::uint64_t crash) { return !explained.contains(crash); }));
+        const auto wider = cause.crashes.size() >= MIN_CRASHES_OF_WIDER_CAUSE
+                           && unexplained >= MIN_UNEXPLAINED_OF_WIDER_CAUSE;
+        if (unexplained < m_options.crashesToQuarantine && !wider) {
+            continue;
+        }
+        explained.insert(cause.crashes.begin(), cause.crashes.end());
+        constexpr std::size_t MAX_DOUBLINGS = 16;
+        const auto doublings
+            = std::min(MAX_DOUBLINGS, cause.crashes.size() - m_options.crashesToQuarantine);
+        const auto us
+            = std::min(m_options.baseQuarantineUs << doublings, m_options.maxQuarantineUs);
+        m_signatures.push_back({.traits = cause.traits,
+                                .crashes = cause.crashes.size(),
+                                .until = cause.latestAt + us});
+    }
+}
+
+} // namespace marjoram
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -22,6 +22,11 @@
 /// Reporters to which an entry relays an announcement. One would reach all other entries; the
 /// second makes up for lost datagrams.
 constexpr std::size_t RELAY_COUNT = 2;
+/// Reporters that keep an observation and pass it on to all entries.
+constexpr std::size_t OBSERVATION_RELAY_COUNT = 3;
+/// Requests to each reporter for the observations that it keeps; more than one, since datagrams get
+/// lost.
+constexpr std::uint32_t OBSERVATION_REQUEST_COUNT = 2;
 /// Path of an announcement: reporter, entry, another reporter, all its entries.
 constexpr std::uint32_t MAX_RELAYS = 2;
 
@@ -54,6 +59,7 @@
         endpoint reporter;
         std::uint64_t sequence = 0;
         std::uint32_t unansweredRequests = 0;
+        std::uint32_t observationRequests = 0;
         std::optional<time_us> unlistedAt;
         /// Known from an announcement, not from the published list.
         bool announced = false;
@@ -112,6 +118,10 @@
             onRoomReply(*reply);
         } else if (auto *announcement = std::get_if<server_news_frame>(&message)) {
             onAnnouncement(std::move(*announcement));
+        } else if (auto *received = std::get_if<run_observations_frame>(&message)) {
+            metrics.add(reports_metric::observations_heard,
+                        static_cast<std::int64_t>(received->observations.size()));
+            reports.push(observations_received{std::move(received->observations)});
         }
     }
     auto onAnnouncement(server_news_frame announcement) -> void
@@ -147,14 +157,35 @@
     auto relay(server_news_frame announcement) -> void
     {
         ++announcement.relays;
-        if (reporters.empty()) {
-            return;
+        for (const auto &to : pickReporters(RELAY_COUNT)) {
+            socket.send(to, announcement);
         }
-        for (std::size_t sent = 0; sent < RELAY_COUNT; ++sent) {
-            const auto step = static_cast<std::ptrdiff_t>(random() % reporters.size());
-            socket.send(std::next(reporters.begin(), step)->second.reporter, announcement);
+    }
+    auto on(const share_observations &shared) -> void
+    {
+        for (const auto &to : pickReporters(OBSERVATION_RELAY_COUNT)) {
+            for (const auto &part : framesOf(shared.observations)) {
+                socket.send(to, part);
+            }
         }
     }
+    /// Picks different reporters at random, from those that answer if there are enough.
+    auto pickReporters(std::size_t count) -> std::vector<endpoint>
+    {
+        std::vector<endpoint> answering;
+        std::vector<endpoint> all;
+        for (const auto &[address, state] : reporters) {
+            all.push_back(state.reporter);
+            // One request may be on its way.
+            if (state.unansweredRequests <= 1) {
+                answering.push_back(state.reporter);
+            }
+        }
+        std::vector<endpoint> out;
+        const auto &from = answering.size() >= count ? answering : all;
+        std::sample(from.begin(), from.end(), std::back_inserter(out), count, random);
+        return out;
+    }
     auto onRoomReply(const room_reply_frame &reply) -> void
     {
         const auto found = reporters.find(reply.report.server);
@@ -217,6 +248,10 @@
         ++state.unansweredRequests;
         metrics.add(reports_metric::report_requests);
         socket.send(state.reporter, report_request_frame{.host = options.host});
+        if (state.observationRequests < OBSERVATION_REQUEST_COUNT) {
+            ++state.observationRequests;
+            socket.send(state.reporter, observations_request_frame{.host = options.host});
+        }
     }
     auto requestReports() -> void
     {
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -3,6 +3,7 @@
 #include "framework/global/clock.h"
 #include "framework/http/httptypes.h"
 #include "innerprotocol/frames.h"
+#include "quarantine/observationlog.h"
 #include "reporting/evacuationscheduler.h"
 #include "serverviews/serverentry.h"
 
@@ -39,6 +40,13 @@
     std::int64_t reportIntervalUs = 240 * US_PER_MS;
     /// An entry that has not renewed its request for this long gets no more reports.
     std::int64_t listenerTimeoutUs = 3'500 * US_PER_MS;
+    /// Time after which an observation of a run is sent once more to entries that renew their
+    /// request, since datagrams get lost; at least their interval.
+    std::int64_t observationRepeatUs = 1'100 * US_PER_MS;
+    /// An entry that renews its request later than this may have been cut off, and gets all
+    /// observations again.
+    std::int64_t listenerGapUs = 2'000 * US_PER_MS;
+    observation_log_options observations;
     /// Unanswered polls in a row after which the server counts as not answering.
     std::uint32_t unansweredPollLimit = 2;
     std::size_t listenerLimit = 1'024;
@@ -78,6 +86,7 @@
         : m_options(options)
         , m_clock(clock)
         , m_sink(sink)
+        , m_observations(m_options.observations)
         , m_evacuation(m_options.evacuation)
     {
         static_assert(report_sink<Sink>);
@@ -90,14 +99,36 @@
         const auto now = m_clock.now();
         expireListeners(now);
         const auto key = toText(listener);
-        const auto known = m_listeners.contains(key);
+        const auto found = m_listeners.find(key);
+        const auto known = found != m_listeners.end();
         if (!known && m_listeners.size() >= m_options.listenerLimit) {
             return;
         }
+        const auto missedNone = known && now - found->second.askedAt < m_options.listenerGapUs;
         m_listeners.insert_or_assign(key, listener_state{listener, now});
         if (!known && m_polled) {
             m_sink.send(listener, nextReport());
         }
+        const auto since = missedNone ? now + -m_options.observationRepeatUs : time_us{INT64_MIN};
+        sendObservations(listener, m_observations.collect(since, now));
+    }
+    /// Sends all observations to an entry that has just started or has just learnt of this server.
+    auto onObservationsRequest(const endpoint &from) -> void
+    {
+        sendObservations(from, m_observations.collect(time_us{INT64_MIN}, m_clock.now()));
+    }
+    /// Keeps the observations of an entry and passes those that are new on to all entries.
+    auto onObservations(const run_observations_frame &received) -> void
+    {
+        std::vector<run_observation> added;
+        for (const auto &seen : received.observations) {
+            if (m_observations.add(seen, m_clock.now())) {
+                added.push_back(seen);
+            }
+        }
+        for (const auto &[key, listener] : m_listeners) {
+            sendObservations(listener.where, added);
+        }
     }
     /// Decides whether a request may be sent to the server. All entries ask here, so that the same
     /// memory is not granted twice.
@@ -202,6 +233,13 @@
         time_us at;
     };
 
+    auto sendObservations(const endpoint &to, const std::vector<run_observation> &observations)
+        -> void
+    {
+        for (const auto &part : framesOf(observations)) {
+            m_sink.send(to, part);
+        }
+    }
     /// Starts announcing a server process that has just started.
     auto detectStart(const server_report &seen) -> void
     {
@@ -340,6 +378,7 @@
     std::map<std::string, listener_state> m_listeners;
     /// Memory granted and not yet used, by request id.
     std::map<std::string, grant_state> m_grants;
+    observation_log m_observations;
     evacuation_scheduler m_evacuation;
     std::optional<incoming_move> m_incomingMove;
     std::uint32_t m_unansweredPolls = 0;
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -95,6 +95,10 @@
             m_core.onMove(*told);
         } else if (const auto *announcement = std::get_if<server_news_frame>(&message)) {
             m_core.onAnnouncement(*announcement);
+        } else if (const auto *received = std::get_if<run_observations_frame>(&message)) {
+            m_core.onObservations(*received);
+        } else if (std::holds_alternative<observations_request_frame>(message)) {
+            m_core.onObservationsRequest(from);
         }
     }
     auto onHead(channel &, const channel_head &head) -> head_verdict
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -10,12 +10,19 @@
 namespace marjoram {
 
 /// Metrics of the reports that an entry receives.
-enum class reports_metric { reports_heard, reports_stale, report_requests, servers_announced };
+enum class reports_metric {
+    reports_heard,
+    reports_stale,
+    report_requests,
+    servers_announced,
+    observations_heard
+};
 inline constexpr std::array reportsMetricNames{
     enum_name<reports_metric>{reports_metric::reports_heard, "server_reports_heard"},
     enum_name<reports_metric>{reports_metric::reports_stale, "server_reports_stale"},
     enum_name<reports_metric>{reports_metric::report_requests, "server_report_requests"},
     enum_name<reports_metric>{reports_metric::servers_announced, "servers_announced"},
+    enum_name<reports_metric>{reports_metric::observations_heard, "run_observations_heard"},
 };
 constexpr auto namesOf(reports_metric) -> const auto &
 {
--- a/src/reporting/tests/virtualfleet.h
+++ b/src/reporting/tests/virtualfleet.h
@@ -57,9 +57,9 @@
     /// Sends and crashes so far, in order.
     auto sends() const -> const std::vector<virtual_send> & { return m_sends; }
     auto crashes() const -> const std::vector<time_us> & { return m_crashes; }
-    /// Ids of the requests whose response ended normally, and of those that were refused.
+    /// Ids of the requests whose response ended normally, and of those refused by a quarantine.
     auto completed() const -> const std::set<std::string> & { return m_completed; }
-    auto refused() const -> const std::set<std::string> & { return m_refused; }
+    auto quarantined() const -> const std::set<std::string> & { return m_quarantined; }
 
     /// Opens a generation with the given prompt parts at an entry; returns its id.
     auto open(std::size_t entryIndex, std::vector<std::uint64_t> parts, const std::string &route)
@@ -88,6 +88,15 @@
     {
         m_entries.at(index) = std::make_unique<entry>(*this, index);
     }
+    /// Replaces a reporter's process by a new one without memory.
+    auto restartReporter(std::size_t index) -> void
+    {
+        auto &one = *m_engines.at(index);
+        std::destroy_at(&one.reporter);
+        std::construct_at(&one.reporter, report_options{.pool = "engines"},
+                          virtual_clock_source(&m_time), toText(one.address), one);
+    }
+    auto engineCount() const -> std::size_t { return m_engines.size(); }
     auto advance(std::int64_t ms) -> void
     {
         for (std::int64_t i = 0; i < ms; i += STEP_MS) {
@@ -105,6 +114,8 @@
     static constexpr std::int64_t REPORT_REQUEST_MS = 1'000;
     static constexpr std::int64_t POLL_MS = 80;
     static constexpr std::uint64_t EVENTS = 40;
+    static constexpr std::size_t RELAYS = 3;
+    static constexpr std::uint32_t OBSERVATION_REQUEST_ROUNDS = 2;
     static constexpr std::uint16_t ENTRY_PORT = 7;
     static constexpr std::uint16_t ENGINE_PORT = 80;
 
@@ -189,8 +200,8 @@
         auto toCaller(const forward_action &action) -> void
         {
             if (const auto *failed = std::get_if<send_failure>(&action)) {
-                if (failed->ran == marjoram::run_state::not_run) {
-                    fleet.m_refused.insert(fleet.m_requestIdByCaller.at(failed->callerId));
+                if (failed->reason == failure::quarantined) {
+                    fleet.m_quarantined.insert(fleet.m_requestIdByCaller.at(failed->callerId));
                 }
             } else if (const auto *ended = std::get_if<end_response_stream>(&action)) {
                 fleet.m_completed.insert(fleet.m_requestIdByCaller.at(ended->callerId));
@@ -213,6 +224,12 @@
                                             .expectedTokens = room->expectedTokens,
                                             .promptsAhead = room->promptsAhead,
                                             .outputTokens = room->outputTokens});
+            } else if (const auto *shared = std::get_if<share_observations>(&command)) {
+                for (std::size_t i = 0; i < RELAYS; ++i) {
+                    for (const auto &part : framesOf(shared->observations)) {
+                        toEngine(fleet.m_random() % fleet.m_engines.size(), part);
+                    }
+                }
             }
         }
         auto log(log_event, const std::string &, const std::vector<log_field> &) -> void { }
@@ -228,6 +245,10 @@
                     reporter.onReportRequest(from);
                 } else if (const auto *room = std::get_if<room_request_frame>(&message)) {
                     reporter.onRoomRequest(from, *room);
+                } else if (std::holds_alternative<observations_request_frame>(message)) {
+                    reporter.onObservationsRequest(from);
+                } else {
+                    reporter.onObservations(std::get<run_observations_frame>(message));
                 }
             });
         }
@@ -241,6 +262,8 @@
                                   .verdict = reply->verdict,
                                   .serverId = id,
                                   .report = reportOf(reply->report)});
+            } else if (const auto *seen = std::get_if<run_observations_frame>(&message)) {
+                core.onObservations(seen->observations);
             }
         }
         static auto reportOf(const server_report_frame &frame) -> server_report
@@ -256,6 +279,7 @@
         virtual_fleet &fleet;
         std::size_t index;
         endpoint address;
+        std::uint32_t rounds = 0;
         server_directory directory{{}};
         forwarding_core<sampled_least_loaded, virtual_clock_source, entry> core;
     };
@@ -377,7 +401,11 @@
             if (ms % REPORT_REQUEST_MS == 0) {
                 for (std::size_t i = 0; i < m_engines.size(); ++i) {
                     one->toEngine(i, report_request_frame{.host = "entry"});
+                    if (one->rounds < OBSERVATION_REQUEST_ROUNDS) {
+                        one->toEngine(i, observations_request_frame{.host = "entry"});
+                    }
                 }
+                ++one->rounds;
             }
             const auto next = one->core.nextTimer();
             if (next && *next <= now()) {
@@ -425,7 +453,7 @@
     std::vector<virtual_send> m_sends;
     std::vector<time_us> m_crashes;
     std::set<std::string> m_completed;
-    std::set<std::string> m_refused;
+    std::set<std::string> m_quarantined;
     std::map<std::uint64_t, std::string> m_requestIdByCaller;
     std::uint64_t m_lastCaller = 0;
 };
