--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -200,6 +200,7 @@
         m_requestByExchange.emplace(request.run.exchangeId, request.number);
         m_directory.recordSent(serverId, request.run.tokens);
         const auto *view = m_directory.find(serverId);
+        const auto resumes = copy || request.lastEvent > 0;
         log(log_event::request_sent, request,
             {{"server", serverId},
              {"route", request.route->name},
@@ -209,8 +210,8 @@
               static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
              {"prompts_ahead", static_cast<std::int64_t>(view ? promptsAhead(*view) : 0)},
              {"report_age_ms", reportAgeMs(view)},
-             {"sends", static_cast<std::int64_t>(request.sends)}});
-        const auto resumes = copy || request.lastEvent > 0;
+             {"sends", static_cast<std::int64_t>(request.sends)},
+             {"resumed", std::int64_t{resumes}}});
         m_sink.toServer(send_request{
             .exchangeId = request.run.exchangeId,
             .serverId = serverId,
@@ -309,6 +310,7 @@
             return;
         }
         recordLoad(*request, answered.head);
+        recordRateLimit(*request, answered.head);
         endExchange(*request);
         if (answered.head.notRun || answered.head.wrongServer) {
             onRefusedByServer(*request, answered.head);
@@ -358,6 +360,7 @@
             return;
         }
         recordLoad(*request, begun.head);
+        recordRateLimit(*request, begun.head);
         request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
         request->run.begun = true;
@@ -595,6 +598,16 @@
             m_directory.onLoad(request.run.serverId, *head.load, m_clock.now());
         }
     }
+    auto recordRateLimit(const request_state &request, const response_head &head) -> void
+    {
+        const auto &id = request.run.serverId;
+        if (!head.wrongServer && m_directory.onRateLimit(id, head.milliRateLimit)) {
+            log(log_event::rate_limit_changed, request,
+                {{"server", id},
+                 {"source", std::string("answer")},
+                 {"per_1000_s", static_cast<std::int64_t>(head.milliRateLimit)}});
+        }
+    }
     auto recordOutcome(request_state &request, bool succeeded) -> void
     {
         const auto &id = request.run.serverId;
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -227,6 +227,9 @@
     /// A different server answered at this address.
     bool wrongServer = false;
     std::optional<load_sample> load;
+    /// Requests per 1,000 seconds that the server accepts from all entries together; 0 if it states
+    /// no limit.
+    std::uint64_t milliRateLimit = 0;
 };
 
 struct response_received
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -103,6 +103,12 @@
     }
 }
 
+auto server_directory::onRateLimit(const std::string &id, std::uint64_t milliRateLimit) -> bool
+{
+    auto *view = findMutable(id);
+    return view && std::exchange(view->milliRateLimit, milliRateLimit) != milliRateLimit;
+}
+
 auto server_directory::recordSent(const std::string &id, std::uint64_t tokens) -> void
 {
     if (auto *view = findMutable(id)) {
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -65,6 +65,9 @@
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
     auto onLoad(const std::string &id, const load_sample &load, time_us now) -> void;
+    /// Takes the rate limit that an answer of the server states, 0 if none. Returns true if it has
+    /// changed.
+    auto onRateLimit(const std::string &id, std::uint64_t milliRateLimit) -> bool;
     auto recordSent(const std::string &id, std::uint64_t tokens) -> void;
     auto recordEnded(const std::string &id, std::uint64_t tokens) -> void;
     auto recordSuccess(const std::string &id) -> void;
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -39,6 +39,9 @@
     std::uint32_t sentSinceReport = 0;
     std::uint64_t tokensSinceReport = 0;
 
+    /// Limit stated by the server's latest answer, in requests per 1,000 seconds; 0 if none.
+    std::uint64_t milliRateLimit = 0;
+
     // --- health
     /// Moving average of failed requests, weighted towards recent ones.
     double failureRate = 0.0;
