Keep to the rate limits that servers state

Cause: entries did not read the limit, and judged room by memory and slots. Evidence: rate_limit_changed is logged and nothing changes in what is sent; no request to a limited server was resumed. Change: reporters count their grants against the limit; entries share it through them, and keep to equal shares where no reporter grants. Limited servers are passed over; when all are limited for too long, callers are told when to retry. Why it works: one process, the reporter, counts what all entries send; where there is none, the shares add up to the limit.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -33,6 +33,7 @@
         , m_mover(m_options.moves, clock, directory, *this)
         , m_quarantine(m_options.quarantine, clock, seed + 3, directory, *this)
     {
+        m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
         static_assert(forwarding_sink<Sink>);
         static_assert(move_host<forwarding_core>);
     }
@@ -68,10 +69,13 @@
     {
         m_entryCount.onReport(report.listeners, m_clock.now());
         m_placer.setEntryCount(m_entryCount.count());
+        m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
         if (!report.answering) {
             m_quarantine.onServerDown(id);
         }
+        const auto rateLimitBefore = rateLimitOf(id);
         const auto becameLeaving = m_directory.onReport(id, std::move(report), m_clock.now());
+        logRateLimitChange(id, rateLimitBefore, "report");
         const auto *view = m_directory.find(id);
         if (becameLeaving) {
             onLeaving(id, "reported");
@@ -199,6 +203,7 @@
         ++request.sends;
         m_requestByExchange.emplace(request.run.exchangeId, request.number);
         m_directory.recordSent(serverId, request.run.tokens);
+        m_directory.recordRequest(serverId, now);
         const auto *view = m_directory.find(serverId);
         const auto resumes = copy || request.lastEvent > 0;
         log(log_event::request_sent, request,
@@ -232,11 +237,15 @@
     }
     auto onPlacementFailed(request_state &request) -> void
     {
-        const auto reason = m_directory.poolSize(request.pool ? request.pool->name : "") == 0
-                                ? failure::no_backend_server
-                                : failure::overloaded;
-        failRequest(request, reason,
-                    request.attempts > 0 ? run_state::unknown : run_state::not_run);
+        const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
+        const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
+        if (m_directory.poolSize(pool) == 0) {
+            failRequest(request, failure::no_backend_server, ran);
+        } else if (const auto until = m_directory.limitedUntil(pool, m_clock.now())) {
+            failRequest(request, failure::rate_limited, ran, until);
+        } else {
+            failRequest(request, failure::overloaded, ran);
+        }
     }
     auto findRequest(std::uint64_t number) -> request_state *
     {
@@ -601,11 +610,27 @@
     auto recordRateLimit(const request_state &request, const response_head &head) -> void
     {
         const auto &id = request.run.serverId;
-        if (!head.wrongServer && m_directory.onRateLimit(id, head.milliRateLimit)) {
-            log(log_event::rate_limit_changed, request,
-                {{"server", id},
-                 {"source", std::string("answer")},
-                 {"per_1000_s", static_cast<std::int64_t>(head.milliRateLimit)}});
+        const auto before = rateLimitOf(id);
+        if (head.wrongServer || !m_directory.onRateLimit(id, head.milliRateLimit, m_clock.now())) {
+            return;
+        }
+        logRateLimitChange(id, before, "answer");
+        m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
+    }
+    auto rateLimitOf(const std::string &id) const -> std::uint64_t
+    {
+        const auto *view = m_directory.find(id);
+        return view && view->rateLimit ? view->rateLimit->milliPerSecond : 0;
+    }
+    auto logRateLimitChange(const std::string &id, std::uint64_t before, std::string_view source)
+        -> void
+    {
+        const auto now = rateLimitOf(id);
+        if (now != before) {
+            m_sink.log(log_event::rate_limit_changed, {},
+                       {{"server", id},
+                        {"source", std::string(source)},
+                        {"per_1000_s", static_cast<std::int64_t>(now)}});
         }
     }
     auto recordOutcome(request_state &request, bool succeeded) -> void
@@ -640,28 +665,26 @@
         }
         endExchange(request);
     }
-    auto failRequest(request_state &request, failure reason, run_state ran) -> void
+    /// The caller may retry after a random delay, counted from `retryAt` if that is set.
+    auto failRequest(request_state &request, failure reason, run_state ran,
+                     std::optional<time_us> retryAt = std::nullopt) -> void
     {
         if (request.streamStarted) {
             abortStream(request, reason);
             return;
         }
-        const auto notRun = ran == run_state::not_run;
-        failWithReason(request, reason, ran,
-                       notRun ? std::optional(drawRetryAfterMs()) : std::nullopt);
+        std::optional<std::int64_t> retryAfterMs;
+        if (ran == run_state::not_run) {
+            retryAfterMs = drawRetryAfterMs() + (retryAt ? msUntil(*retryAt) : 0);
+        }
+        failWithReason(request, reason, ran, retryAfterMs);
         close(request);
     }
     auto failQuarantined(request_state &request, time_us until) -> void
     {
-        if (request.streamStarted) {
-            abortStream(request, failure::quarantined);
-            return;
-        }
         const auto notRun = request.attempts == 0 && request.phase != request_phase::sent;
-        failWithReason(request, failure::quarantined,
-                       notRun ? run_state::not_run : run_state::unknown,
-                       notRun ? std::optional(msUntil(until)) : std::nullopt);
-        close(request);
+        failRequest(request, failure::quarantined, notRun ? run_state::not_run : run_state::unknown,
+                    until);
     }
     /// Ends the quarantined requests that no server has begun to answer. At-most-once requests that
     /// were sent continue: cancelling one would leave its outcome unknown.
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -173,7 +173,14 @@
 {
     std::vector<run_observation> observations;
 };
-using reporter_command = std::variant<request_room, notify_move, share_observations>;
+/// Tells the server's reporter of the rate limit that an answer has just stated.
+struct share_rate_limit
+{
+    std::string serverId;
+    std::uint64_t milliPerSecond = 0;
+};
+using reporter_command
+    = std::variant<request_room, notify_move, share_observations, share_rate_limit>;
 
 /// Sends a request to a backend server.
 struct send_request
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -33,7 +33,7 @@
         , reports(worker.context(), rings.fromReports, owner)
         , reporterCommands(worker.context(), rings.toReports, BACKLOG_LIMIT)
         , timer(worker.context())
-        , directory({})
+        , directory({}, systemSeed())
         , core(std::move(options), clock, systemSeed(), directory, *this)
     { }
 
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -238,7 +238,10 @@
                         {"questions", static_cast<std::int64_t>(request.roomRequest.count)},
                         {"room", std::string(nameOf(request.roomRequest.lastVerdict))}});
         }
-        if (now >= *request.waitUntil) {
+        // If the limits of all servers last longer, the caller is told at once when to retry.
+        const auto limitedUntil
+            = m_directory.limitedUntil(request.pool ? request.pool->name : "", now);
+        if (now >= *request.waitUntil || (limitedUntil && *limitedUntil > *request.waitUntil)) {
             m_host.onPlacementFailed(request);
             return;
         }
--- a/src/framework/global/failure.h
+++ b/src/framework/global/failure.h
@@ -46,6 +46,7 @@
     superseded,
     cancelled,
     quarantined,
+    rate_limited,
 };
 inline constexpr std::array failureNames{
     enum_name<failure>{failure::none, "none"},
@@ -76,6 +77,7 @@
     enum_name<failure>{failure::superseded, "superseded"},
     enum_name<failure>{failure::cancelled, "cancelled"},
     enum_name<failure>{failure::quarantined, "quarantined"},
+    enum_name<failure>{failure::rate_limited, "rate_limited"},
 };
 constexpr auto namesOf(failure) -> const auto &
 {
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -48,6 +48,10 @@
     std::string turn;
     /// Entries that have asked for reports of late.
     std::uint32_t listeners = 0;
+    /// Whether any entry has told of a limit; the limit; time until a request is granted within it.
+    bool rateLimitKnown = false;
+    server_rate_limit rateLimit;
+    std::int64_t limitedForMs = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -69,6 +73,21 @@
         visit(self.runs);
         visit(self.turn);
         visit(self.listeners);
+        visit(self.rateLimitKnown);
+        visit(self.rateLimit);
+        visit(self.limitedForMs);
+    }
+};
+
+/// Entry to reporter: the rate limit that an answer of the backend server stated, or none.
+struct rate_limit_frame
+{
+    server_rate_limit rateLimit;
+
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.rateLimit);
     }
 };
 
@@ -190,7 +209,15 @@
 };
 
 /// What a reporter says of room at its backend server.
-enum class room_verdict { granted, not_answering, leaving, memory_taken, prompts_ahead, link_busy };
+enum class room_verdict {
+    granted,
+    not_answering,
+    leaving,
+    memory_taken,
+    prompts_ahead,
+    link_busy,
+    rate_limited
+};
 inline constexpr std::array roomVerdictNames{
     enum_name<room_verdict>{room_verdict::granted, "granted"},
     enum_name<room_verdict>{room_verdict::not_answering, "not_answering"},
@@ -198,6 +225,7 @@
     enum_name<room_verdict>{room_verdict::memory_taken, "memory_taken"},
     enum_name<room_verdict>{room_verdict::prompts_ahead, "prompts_ahead"},
     enum_name<room_verdict>{room_verdict::link_busy, "link_busy"},
+    enum_name<room_verdict>{room_verdict::rate_limited, "rate_limited"},
 };
 constexpr auto namesOf(room_verdict) -> const auto &
 {
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -45,7 +45,9 @@
             .runs = frame.runs,
             .leavingForMs = frame.leavingForMs,
             .turn = frame.turn,
-            .listeners = frame.listeners};
+            .listeners = frame.listeners,
+            .rateLimit = frame.rateLimitKnown ? std::optional(frame.rateLimit) : std::nullopt,
+            .limitedForMs = frame.limitedForMs};
 }
 
 } // namespace
@@ -213,6 +215,11 @@
     {
         sendTo(told.serverId, move_note_frame{.requestId = told.requestId, .note = told.note});
     }
+    auto on(const share_rate_limit &seen) -> void
+    {
+        sendTo(seen.serverId,
+               rate_limit_frame{.rateLimit = {.milliPerSecond = seen.milliPerSecond}});
+    }
     auto sendTo(const std::string &serverId, const frame &message) -> void
     {
         const auto found
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -3,6 +3,7 @@
 #include "framework/global/clock.h"
 #include "framework/http/httptypes.h"
 #include "innerprotocol/frames.h"
+#include "limits/ratelimiter.h"
 #include "quarantine/observationlog.h"
 #include "reporting/evacuationscheduler.h"
 #include "serverviews/serverentry.h"
@@ -47,6 +48,9 @@
     /// observations again.
     std::int64_t listenerGapUs = 2'000 * US_PER_MS;
     observation_log_options observations;
+    /// Keeps the server to the limit that it states. Runs that must move may exceed it for a
+    /// moment.
+    rate_limiter_options rateLimit{.burst = 2.0, .maxDebt = 2.0};
     /// Unanswered polls in a row after which the server counts as not answering.
     std::uint32_t unansweredPollLimit = 2;
     std::size_t listenerLimit = 1'024;
@@ -87,6 +91,7 @@
         , m_clock(clock)
         , m_sink(sink)
         , m_observations(m_options.observations)
+        , m_rateLimiter(m_options.rateLimit)
         , m_evacuation(m_options.evacuation)
     {
         static_assert(report_sink<Sink>);
@@ -136,7 +141,7 @@
     {
         const auto now = m_clock.now();
         expireGrants(now);
-        const auto verdict = roomVerdict(asked);
+        const auto verdict = withinRateLimit(asked, roomVerdict(asked));
         if (verdict == room_verdict::granted) {
             m_grants.insert_or_assign(asked.requestId, grant_state{asked.expectedTokens, now});
             if (asked.landing) {
@@ -146,6 +151,28 @@
         m_sink.send(from, room_reply_frame{
                               .askId = asked.askId, .verdict = verdict, .report = nextReport()});
     }
+    /// Takes the rate limit that an entry has seen, and passes a change on to all entries.
+    auto onRateLimit(const server_rate_limit &seen) -> void
+    {
+        const auto now = m_clock.now();
+        const auto seenAt = now + -seen.ageMs * US_PER_MS;
+        if (m_report.rateLimitKnown && seenAt <= m_rateLimitSeenAt) {
+            return;
+        }
+        const auto before = m_report.rateLimit.milliPerSecond;
+        m_report.rateLimitKnown = true;
+        m_report.rateLimit = seen;
+        m_rateLimitSeenAt = seenAt;
+        if (before == seen.milliPerSecond) {
+            return;
+        }
+        if (isRateLimited() && before > 0) {
+            m_rateLimiter.setRate(seen.perSecond(), now);
+        } else if (isRateLimited()) {
+            m_rateLimiter.restart(seen.perSecond(), 0.0, now);
+        }
+        publish(true);
+    }
     /// Handles the progress that an entry reports for moving a run from or to the server.
     auto onMove(const move_note_frame &told) -> void
     {
@@ -250,6 +277,9 @@
         const auto ageMs = std::abs(m_clock.unixMs() - seen.bornUnixMs);
         m_identity.reset();
         m_announceUntil.reset();
+        if (before) {
+            forgetRateLimit();
+        }
         if (before || ageMs < m_options.justStartedAgeMs) {
             m_announceUntil = m_clock.now() + m_options.announceDurationUs;
         }
@@ -318,6 +348,29 @@
         const auto ahead = m_report.starting + std::max(m_report.waiting, prompts);
         return ahead > asked.promptsAhead ? room_verdict::prompts_ahead : room_verdict::granted;
     }
+    auto isRateLimited() const -> bool { return m_report.rateLimit.milliPerSecond > 0; }
+    /// Counts a granted request towards the server's limit, or refuses it if the limit is reached.
+    auto withinRateLimit(const room_request_frame &asked, room_verdict verdict) -> room_verdict
+    {
+        const auto counts = verdict == room_verdict::granted && isRateLimited();
+        return counts && !m_rateLimiter.tryAcquire(m_clock.now(), asked.landing)
+                   ? room_verdict::rate_limited
+                   : verdict;
+    }
+    auto forgetRateLimit() -> void
+    {
+        m_report.rateLimitKnown = false;
+        m_report.rateLimit = {};
+    }
+    auto updateRateLimit(time_us now) -> void
+    {
+        const auto ageUs = now - m_rateLimitSeenAt;
+        if (isRateLimited() && ageUs > m_report.rateLimit.retentionUs()) {
+            forgetRateLimit();
+        }
+        m_report.rateLimit.ageMs = m_report.rateLimitKnown ? ageUs / US_PER_MS : 0;
+        m_report.limitedForMs = isRateLimited() ? (m_rateLimiter.nextAt(now) - now) / US_PER_MS : 0;
+    }
     auto incomingMoveVerdict(const room_request_frame &asked) const -> room_verdict
     {
         const auto busy = m_incomingMove && m_incomingMove->requestId != asked.requestId
@@ -361,6 +414,7 @@
     auto nextReport() -> server_report_frame
     {
         ++m_report.sequence;
+        updateRateLimit(m_clock.now());
         m_report.listeners = static_cast<std::uint32_t>(m_listeners.size());
         return m_report;
     }
@@ -379,6 +433,8 @@
     /// Memory granted and not yet used, by request id.
     std::map<std::string, grant_state> m_grants;
     observation_log m_observations;
+    rate_limiter m_rateLimiter;
+    time_us m_rateLimitSeenAt;
     evacuation_scheduler m_evacuation;
     std::optional<incoming_move> m_incomingMove;
     std::uint32_t m_unansweredPolls = 0;
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -99,6 +99,8 @@
             m_core.onObservations(*received);
         } else if (std::holds_alternative<observations_request_frame>(message)) {
             m_core.onObservationsRequest(from);
+        } else if (const auto *seen = std::get_if<rate_limit_frame>(&message)) {
+            m_core.onRateLimit(seen->rateLimit);
         }
     }
     auto onHead(channel &, const channel_head &head) -> head_verdict
--- a/src/reporting/tests/virtualfleet.h
+++ b/src/reporting/tests/virtualfleet.h
@@ -24,6 +24,12 @@
     std::int64_t downMs = 3'000;
     /// Share of the datagrams between entries and reporters that is lost.
     double datagramLoss = 0.0;
+    /// The first few engines state a rate limit, in requests per 1,000 seconds, from a time on.
+    std::size_t limitedEngines = 0;
+    std::uint64_t milliRateLimit = 0;
+    std::int64_t limitedFromMs = 0;
+    /// Whether there is a reporter beside each engine.
+    bool reporters = true;
     std::uint64_t seed = 1;
 };
 
@@ -32,6 +38,7 @@
 {
     time_us at;
     std::size_t entry = 0;
+    std::size_t engine = 0;
     std::string requestId;
     bool crashing = false;
 };
@@ -60,6 +67,8 @@
     /// Ids of the requests whose response ended normally, and of those refused by a quarantine.
     auto completed() const -> const std::set<std::string> & { return m_completed; }
     auto quarantined() const -> const std::set<std::string> & { return m_quarantined; }
+    /// Ids of the requests that were refused because of the limits of servers.
+    auto rateLimited() const -> const std::set<std::string> & { return m_rateLimited; }
 
     /// Opens a generation with the given prompt parts at an entry; returns its id.
     auto open(std::size_t entryIndex, std::vector<std::uint64_t> parts, const std::string &route)
@@ -162,6 +171,9 @@
         }
         auto poll() -> void
         {
+            if (!fleet.m_options.reporters) {
+                return;
+            }
             if (!up()) {
                 reporter.onPollFailed();
                 return;
@@ -188,18 +200,30 @@
             : fleet(owner)
             , index(number)
             , address{"10.0.1." + std::to_string(number + 1), ENTRY_PORT}
-            , core({.dataCentre = "d", .initialEntryCount = 1}, virtual_clock_source(&owner.m_time),
-                   owner.m_options.seed * 100 + number, directory, *this)
+            , directory({}, owner.m_options.seed * 200 + number)
+            , core({.dataCentre = "d", .initialEntryCount = entryCountFor(owner)},
+                   virtual_clock_source(&owner.m_time), owner.m_options.seed * 100 + number,
+                   directory, *this)
         {
             core.onRouteTable(fleet.table());
             core.onServerList(fleet.list());
         }
 
+        /// Reports tell the number of entries; without them it is configured.
+        static auto entryCountFor(const virtual_fleet &owner) -> std::uint32_t
+        {
+            return owner.m_options.reporters ? 1
+                                             : static_cast<std::uint32_t>(owner.m_options.entries);
+        }
+
         // --- called by the forwarding_core
 
         auto toCaller(const forward_action &action) -> void
         {
             if (const auto *failed = std::get_if<send_failure>(&action)) {
+                if (failed->reason == failure::rate_limited) {
+                    fleet.m_rateLimited.insert(fleet.m_requestIdByCaller.at(failed->callerId));
+                }
                 if (failed->reason == failure::quarantined) {
                     fleet.m_quarantined.insert(fleet.m_requestIdByCaller.at(failed->callerId));
                 }
@@ -224,6 +248,9 @@
                                             .expectedTokens = room->expectedTokens,
                                             .promptsAhead = room->promptsAhead,
                                             .outputTokens = room->outputTokens});
+            } else if (const auto *seen = std::get_if<share_rate_limit>(&command)) {
+                toEngine(fleet.engineNumber(seen->serverId),
+                         rate_limit_frame{.rateLimit = {.milliPerSecond = seen->milliPerSecond}});
             } else if (const auto *shared = std::get_if<share_observations>(&command)) {
                 for (std::size_t i = 0; i < RELAYS; ++i) {
                     for (const auto &part : framesOf(shared->observations)) {
@@ -245,6 +272,8 @@
                     reporter.onReportRequest(from);
                 } else if (const auto *room = std::get_if<room_request_frame>(&message)) {
                     reporter.onRoomRequest(from, *room);
+                } else if (const auto *limit = std::get_if<rate_limit_frame>(&message)) {
+                    reporter.onRateLimit(limit->rateLimit);
                 } else if (std::holds_alternative<observations_request_frame>(message)) {
                     reporter.onObservationsRequest(from);
                 } else {
@@ -273,14 +302,17 @@
                     .usedTokens = frame.usedTokens,
                     .capacityTokens = frame.capacityTokens,
                     .bornUnixMs = frame.bornUnixMs,
-                    .listeners = frame.listeners};
+                    .listeners = frame.listeners,
+                    .rateLimit
+                    = frame.rateLimitKnown ? std::optional(frame.rateLimit) : std::nullopt,
+                    .limitedForMs = frame.limitedForMs};
         }
 
         virtual_fleet &fleet;
         std::size_t index;
         endpoint address;
         std::uint32_t rounds = 0;
-        server_directory directory{{}};
+        server_directory directory;
         forwarding_core<sampled_least_loaded, virtual_clock_source, entry> core;
     };
 
@@ -298,6 +330,14 @@
                                       .pools = {{.pool = "engines"}},
                                       .resumable = resumable});
         };
+        content.routes.push_back({.name = "find",
+                                  .host = "h",
+                                  .pathPrefix = "/find/",
+                                  .kind = work_kind::repeatable,
+                                  .timeoutMs = 4'000,
+                                  .latencyTargetMs = 300,
+                                  .attempts = 1,
+                                  .pools = {{.pool = "engines"}}});
         add("draft", 1, false);
         add("label", 2, true);
         content.pools.push_back(
@@ -339,6 +379,7 @@
         }
         m_sends.push_back({.at = now(),
                            .entry = entryIndex,
+                           .engine = to.index,
                            .requestId = send.request->requestId,
                            .crashing = isCrashing(*send.request)});
         to.runs.push_back({.entry = entryIndex,
@@ -398,7 +439,7 @@
             stepRuns(*one);
         }
         for (auto &one : m_entries) {
-            if (ms % REPORT_REQUEST_MS == 0) {
+            if (m_options.reporters && ms % REPORT_REQUEST_MS == 0) {
                 for (std::size_t i = 0; i < m_engines.size(); ++i) {
                     one->toEngine(i, report_request_frame{.host = "entry"});
                     if (one->rounds < OBSERVATION_REQUEST_ROUNDS) {
@@ -413,6 +454,12 @@
             }
         }
     }
+    auto headOf(const engine &on) const -> response_head
+    {
+        const auto limited = on.index < m_options.limitedEngines
+                             && now().value >= m_options.limitedFromMs * US_PER_MS;
+        return {.status = 200, .milliRateLimit = limited ? m_options.milliRateLimit : 0};
+    }
     auto stepRuns(engine &on) -> void
     {
         for (std::size_t i = 0; i < on.runs.size();) {
@@ -422,8 +469,14 @@
                 continue;
             }
             run.nextAt = now() + m_options.eventMs * US_PER_MS;
+            if (run.request->target == "/find/x") {
+                toEntry(run.entry,
+                        response_received{.exchangeId = run.exchangeId, .head = headOf(on)});
+                on.runs.erase(on.runs.begin() + static_cast<std::ptrdiff_t>(i));
+                continue;
+            }
             if (!std::exchange(run.begun, true)) {
-                toEntry(run.entry, stream_begun{.exchangeId = run.exchangeId});
+                toEntry(run.entry, stream_begun{.exchangeId = run.exchangeId, .head = headOf(on)});
                 if (isCrashing(*run.request)) {
                     m_crashes.push_back(now());
                     on.crash();
@@ -454,6 +507,7 @@
     std::vector<time_us> m_crashes;
     std::set<std::string> m_completed;
     std::set<std::string> m_quarantined;
+    std::set<std::string> m_rateLimited;
     std::map<std::uint64_t, std::string> m_requestIdByCaller;
     std::uint64_t m_lastCaller = 0;
 };
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -89,6 +89,7 @@
     view->reportAt = now;
     view->sentSinceReport = 0;
     view->tokensSinceReport = 0;
+    onReportedRateLimit(*view, now);
     return becameLeaving;
 }
 
@@ -103,10 +104,96 @@
     }
 }
 
-auto server_directory::onRateLimit(const std::string &id, std::uint64_t milliRateLimit) -> bool
+auto server_directory::onRateLimit(const std::string &id, std::uint64_t milliPerSecond, time_us now)
+    -> bool
 {
     auto *view = findMutable(id);
-    return view && std::exchange(view->milliRateLimit, milliRateLimit) != milliRateLimit;
+    if (!view || (!view->rateLimit && milliPerSecond == 0)) {
+        return false;
+    }
+    const auto changed = setRateLimit(*view, milliPerSecond, now, now);
+    if (!changed && now - view->rateLimitSharedAt < m_options.rateLimitShareIntervalUs) {
+        return false;
+    }
+    view->rateLimitSharedAt = now;
+    return true;
+}
+
+auto server_directory::recordRequest(const std::string &id, time_us now) -> void
+{
+    auto *view = findMutable(id);
+    if (!view || !view->rateLimit || view->rateLimit->milliPerSecond == 0
+        || hasGranter(*view, now)) {
+        return;
+    }
+    if (now - view->rateLimitSeenAt > view->rateLimit->retentionUs()) {
+        setRateLimit(*view, 0, now, now);
+        return;
+    }
+    view->ownShare.record(now);
+    view->limitedUntil = view->ownShare.nextAt(now);
+}
+
+auto server_directory::setEntryCount(std::uint32_t entries, time_us now) -> void
+{
+    if (std::exchange(m_entryCount, entries) == entries) {
+        return;
+    }
+    for (auto &[id, view] : m_views) {
+        if (view.rateLimit && view.rateLimit->milliPerSecond > 0) {
+            view.ownShare.setRate(shareOf(view), now);
+        }
+    }
+}
+
+/// Returns true if the limit has changed.
+auto server_directory::setRateLimit(server_view &view, std::uint64_t milliPerSecond, time_us seenAt,
+                                    time_us now) -> bool
+{
+    const auto before = view.rateLimit ? view.rateLimit->milliPerSecond : 0;
+    view.rateLimit = {.milliPerSecond = milliPerSecond};
+    view.rateLimitSeenAt = seenAt;
+    if (before == milliPerSecond) {
+        return false;
+    }
+    if (milliPerSecond == 0) {
+        view.limitedUntil = {};
+    } else if (before > 0) {
+        view.ownShare.setRate(shareOf(view), now);
+    } else {
+        // Entries learn of a limit together, and must not all send at the same time.
+        const auto phase = static_cast<double>(m_random() >> 11) * 0x1.0p-53;
+        view.ownShare.restart(shareOf(view), phase, now);
+        view.limitedUntil = view.ownShare.nextAt(now);
+    }
+    return true;
+}
+
+auto server_directory::onReportedRateLimit(server_view &view, time_us now) -> void
+{
+    const auto &reported = view.report->rateLimit;
+    if (!reported) {
+        return;
+    }
+    const auto seenAt = now + -reported->ageMs * US_PER_MS;
+    if (!view.rateLimit || seenAt > view.rateLimitSeenAt) {
+        setRateLimit(view, reported->milliPerSecond, seenAt, now);
+    }
+    if (view.rateLimit->milliPerSecond > 0 && hasGranter(view, now)) {
+        view.limitedUntil = now + view.report->limitedForMs * US_PER_MS;
+    }
+}
+
+/// Whether a reporter knows the limit of the server and grants requests within it.
+auto server_directory::hasGranter(const server_view &view, time_us now) const -> bool
+{
+    return view.report && now - view.reportAt < m_options.granterReportMaxAgeUs
+           && view.report->rateLimit && view.report->rateLimit->milliPerSecond > 0;
+}
+
+auto server_directory::shareOf(const server_view &view) const -> double
+{
+    return view.rateLimit->perSecond() / m_entryCount;
 }
 
 auto server_directory::recordSent(const std::string &id, std::uint64_t tokens) -> void
@@ -190,6 +277,19 @@
     return healthy.empty() ? all : healthy;
 }
 
+auto server_directory::limitedUntil(std::string_view pool, time_us now) const
+    -> std::optional<time_us>
+{
+    std::optional<time_us> out;
+    for (const auto *view : usableServers(pool, now)) {
+        if (view->limitedUntil <= now) {
+            return std::nullopt;
+        }
+        out = std::min(out.value_or(view->limitedUntil), view->limitedUntil);
+    }
+    return out;
+}
+
 auto server_directory::poolSize(std::string_view pool) const -> std::size_t
 {
     return static_cast<std::size_t>(
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/identifiers.h"
 #include "serverviews/serverview.h"
 
 #include <map>
@@ -33,6 +34,10 @@
     std::int64_t announcedReportMaxAgeUs = 1 * US_PER_SECOND;
     /// How long a removed server cannot be announced again.
     std::int64_t goneRetentionUs = 60 * US_PER_SECOND;
+    /// A server whose last report is older has no reporter that grants requests within its limit.
+    std::int64_t granterReportMaxAgeUs = 1 * US_PER_SECOND;
+    /// Pause before a reporter is told of the same limit again.
+    std::int64_t rateLimitShareIntervalUs = 500 * US_PER_MS;
 };
 
 /// Changes between two published lists.
@@ -51,10 +56,15 @@
 class server_directory
 {
 public:
-    explicit server_directory(server_directory_options options)
+    /// Different seeds spread the sends of entries that share a server's limit.
+    explicit server_directory(server_directory_options options, std::uint64_t seed = 0)
         : m_options(options)
+        , m_random(seed)
     { }
 
+    /// Sets the number of entries that share the limits of servers. Precondition: entries > 0.
+    auto setEntryCount(std::uint32_t entries, time_us now) -> void;
+
     // --- events
 
     /// Applies a complete published list.
@@ -65,9 +75,11 @@
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
     auto onLoad(const std::string &id, const load_sample &load, time_us now) -> void;
-    /// Takes the rate limit that an answer of the server states, 0 if none. Returns true if it has
-    /// changed.
-    auto onRateLimit(const std::string &id, std::uint64_t milliRateLimit) -> bool;
+    /// Takes the rate limit that an answer of the server states, 0 if none. Returns true if the
+    /// server's reporter should learn of it.
+    auto onRateLimit(const std::string &id, std::uint64_t milliPerSecond, time_us now) -> bool;
+    /// Counts a request that was sent to the server towards its limit.
+    auto recordRequest(const std::string &id, time_us now) -> void;
     auto recordSent(const std::string &id, std::uint64_t tokens) -> void;
     auto recordEnded(const std::string &id, std::uint64_t tokens) -> void;
     auto recordSuccess(const std::string &id) -> void;
@@ -86,6 +98,9 @@
     /// pointers are valid until the next event.
     auto usableServers(std::string_view pool, time_us now, bool trustedOnly = false) const
         -> std::vector<const server_view *>;
+    /// Returns when the first server of a pool may get a request within its limit; nullopt if one
+    /// may now.
+    auto limitedUntil(std::string_view pool, time_us now) const -> std::optional<time_us>;
     /// Number of servers of a pool in any state.
     auto poolSize(std::string_view pool) const -> std::size_t;
     auto views() const -> const std::map<std::string, server_view, std::less<>> &
@@ -95,6 +110,11 @@
 
 private:
     auto findMutable(const std::string &id) -> server_view *;
+    auto setRateLimit(server_view &view, std::uint64_t milliPerSecond, time_us seenAt, time_us now)
+        -> bool;
+    auto onReportedRateLimit(server_view &view, time_us now) -> void;
+    auto hasGranter(const server_view &view, time_us now) const -> bool;
+    auto shareOf(const server_view &view) const -> double;
     auto isListingPending(server_view &view, time_us now) const -> bool;
     auto isUsable(const server_view &view, time_us now) const -> bool;
     auto recordGone(const std::vector<std::string> &gone, time_us now) -> void;
@@ -104,6 +124,8 @@
     server_directory_options m_options;
     std::map<std::string, server_view, std::less<>> m_views;
     std::map<std::string, time_us> m_gone;
+    random_source m_random;
+    std::uint32_t m_entryCount = 1;
 };
 
 } // namespace marjoram
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/enumnames.h"
 #include "framework/http/httptypes.h"
+#include "serverviews/ratelimit.h"
 
 #include <array>
 #include <cstdint>
@@ -90,6 +91,9 @@
     std::string turn;
     /// Number of entries subscribed to these reports.
     std::uint32_t listeners = 0;
+    /// Limit that entries have seen, and the time until the reporter grants a request within it.
+    std::optional<server_rate_limit> rateLimit;
+    std::int64_t limitedForMs = 0;
 };
 
 /// Load reported with a response.
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/clock.h"
+#include "limits/ratelimiter.h"
 #include "serverviews/serverentry.h"
 
 #include <cstdint>
@@ -39,8 +40,15 @@
     std::uint32_t sentSinceReport = 0;
     std::uint64_t tokensSinceReport = 0;
 
-    /// Limit stated by the server's latest answer, in requests per 1,000 seconds; 0 if none.
-    std::uint64_t milliRateLimit = 0;
+    // --- rate limit
+    std::optional<server_rate_limit> rateLimit;
+    time_us rateLimitSeenAt;
+    /// When the reporter was last told of the limit.
+    time_us rateLimitSharedAt;
+    /// This entry's share of the limit; used while no reporter grants requests within it.
+    rate_limiter ownShare{{}};
+    /// It gets no new work until then, to keep to its limit.
+    time_us limitedUntil;
 
     // --- health
     /// Moving average of failed requests, weighted towards recent ones.
