Clients close connections on which bytes without end arrive

What callers saw: a request whose server sent a body, a trailer or foreign answers without end waited for its deadline, while the bytes were read; a chunk's header without end was buffered until the process ran out of memory. On hosts of one's own, an engine's error body without end kept its generation for ever. Cause: a receiver that had seen too much could only note it; the connection went on reading until the response was complete. Change: receivers of a head or body may refuse it, which ends the exchange with a typed error and closes the connection; bytes that cannot be parsed yet and skipped answers are bounded.

--- a/src/backendservers/internal/backendduty.cpp
+++ b/src/backendservers/internal/backendduty.cpp
@@ -37,11 +37,10 @@
         bool endPublished = false;
         std::shared_ptr<http_fetch<engine_stream>> fetch;
 
-        auto onBody(std::string_view bytes) -> void
+        auto onBody(std::string_view bytes) -> body_verdict
         {
             if (fetch->status() != HTTP_OK) {
-                valid = false;
-                return;
+                return body_verdict::refuse;
             }
             std::vector<std::string> tokens;
             valid = valid && parser.feed(bytes, tokens);
@@ -53,6 +52,7 @@
             } else if (valid && !tokens.empty()) {
                 owner.publish(engine_tokens{.serial = serial, .tokens = std::move(tokens)});
             }
+            return valid && !endPublished ? body_verdict::take : body_verdict::refuse;
         }
         auto onDone(const fetch_outcome &outcome) -> void { owner.onStreamDone(*this, outcome); }
     };
@@ -65,11 +65,13 @@
         std::string body;
         std::shared_ptr<http_fetch<buffered_request>> fetch;
 
-        auto onBody(std::string_view bytes) -> void
+        auto onBody(std::string_view bytes) -> body_verdict
         {
-            if (body.size() + bytes.size() <= ANSWER_LIMIT_BYTES) {
-                body.append(bytes);
+            if (body.size() + bytes.size() > ANSWER_LIMIT_BYTES) {
+                return body_verdict::refuse;
             }
+            body.append(bytes);
+            return body_verdict::take;
         }
         auto onDone(const fetch_outcome &outcome) -> void
         {
--- a/src/framework/http/httpchannel.h
+++ b/src/framework/http/httpchannel.h
@@ -27,11 +27,12 @@
     }
 };
 
-/// What the owner does with a response.
-enum class head_verdict { take, skip };
+/// What the owner does with a response. A refused one ends the exchange and the connection.
+enum class head_verdict { take, skip, refuse };
 inline constexpr std::array headVerdictNames{
     enum_name<head_verdict>{head_verdict::take, "take"},
     enum_name<head_verdict>{head_verdict::skip, "skip"},
+    enum_name<head_verdict>{head_verdict::refuse, "refuse"},
 };
 constexpr auto namesOf(head_verdict) -> const auto &
 {
@@ -55,7 +56,9 @@
     {
         owner.onHead(channel, head)
         } -> std::same_as<head_verdict>;
-    owner.onBody(channel, bytes);
+    {
+        owner.onBody(channel, bytes)
+        } -> std::same_as<body_verdict>;
     owner.onDone(channel, outcome);
     owner.onIdleClosed(channel);
 };
@@ -93,6 +96,8 @@
         static_assert(channel_owner<Owner, http_channel>);
         prepare(request);
         m_busy = true;
+        m_skippedBytes = 0;
+        m_skippedResponses = 0;
         m_phase = fetch_phase::connecting;
         if (!m_connected) {
             connect();
@@ -101,7 +106,7 @@
         boost::system::error_code ignored;
         m_stream.socket().cancel(ignored);
         if (peerHasSpoken()) {
-            finish(boost::asio::error::connection_reset);
+            finish(make_error_code(std::errc::connection_reset));
             return;
         }
         write();
@@ -129,6 +134,9 @@
     static constexpr unsigned HTTP_VERSION = 11;
     static constexpr std::size_t BUFFER_BYTES = 4 * 1024;
     static constexpr std::size_t HEAD_LIMIT_BYTES = 32 * 1024;
+    /// Limits on responses that are skipped within an exchange.
+    static constexpr std::size_t SKIPPED_LIMIT_BYTES = 1024 * 1024;
+    static constexpr std::uint32_t SKIPPED_RESPONSE_LIMIT = 16;
     /// Keep-alive probes before the peer counts as gone.
     static constexpr int PROBES = 2;
 
@@ -245,16 +253,18 @@
             error = {};
         }
         const auto received = m_bytes.size() - m_parser->get().body().size;
-        if (m_parser->is_header_done() && !std::exchange(m_headTaken, true)) {
-            takeHead();
-        }
-        if (m_owner && !m_skipping && m_headTaken && received > 0) {
-            m_owner->onBody(*this, std::string_view(m_bytes.data(), received));
+        auto refusal = m_parser->is_header_done() && !std::exchange(m_headTaken, true)
+                           ? takeHead()
+                           : std::error_code{};
+        if (m_owner && !refusal && m_headTaken && received > 0) {
+            refusal = takeBody(std::string_view(m_bytes.data(), received));
         }
         if (!m_owner) {
             return;
         }
-        if (error) {
+        if (refusal) {
+            finish(refusal);
+        } else if (error) {
             finish(error);
         } else if (!m_parser->is_done()) {
             read();
@@ -264,7 +274,7 @@
             finish({});
         }
     }
-    auto takeHead() -> void
+    auto takeHead() -> std::error_code
     {
         const auto &message = m_parser->get();
         channel_head head{.status = static_cast<int>(message.result_int()),
@@ -272,14 +282,32 @@
         for (const auto &field : message) {
             head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
-        m_skipping = m_owner->onHead(*this, head) == head_verdict::skip;
+        const auto verdict = m_owner->onHead(*this, head);
+        m_skipping = verdict == head_verdict::skip;
+        if (m_skipping && ++m_skippedResponses > SKIPPED_RESPONSE_LIMIT) {
+            return make_error_code(response_error::too_much_skipped);
+        }
+        return verdict == head_verdict::refuse ? make_error_code(response_error::refused)
+                                               : std::error_code{};
+    }
+    auto takeBody(std::string_view bytes) -> std::error_code
+    {
+        if (m_skipping) {
+            m_skippedBytes += bytes.size();
+            return m_skippedBytes > SKIPPED_LIMIT_BYTES
+                       ? make_error_code(response_error::too_much_skipped)
+                       : std::error_code{};
+        }
+        return m_owner->onBody(*this, bytes) == body_verdict::refuse
+                   ? make_error_code(response_error::refused)
+                   : std::error_code{};
     }
-    auto finish(boost::system::error_code error) -> void
+    auto finish(std::error_code error) -> void
     {
         const auto whole = !error;
         const auto reusable
             = whole && m_written && m_buffer.size() == 0 && m_parser->get().keep_alive();
-        const auto cause = error && m_writeError ? m_writeError : error;
+        const auto cause = error && m_writeError ? std::error_code(m_writeError) : error;
         m_busy = false;
         if (!reusable) {
             boost::system::error_code ignored;
@@ -307,11 +335,13 @@
     endpoint m_peer;
     channel_options m_options;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{UNPARSED_LIMIT_BYTES};
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::array<char, BUFFER_BYTES> m_bytes;
     boost::system::error_code m_writeError;
     fetch_phase m_phase = fetch_phase::connecting;
+    std::size_t m_skippedBytes = 0;
+    std::uint32_t m_skippedResponses = 0;
     bool m_connected = false;
     bool m_busy = false;
     bool m_written = false;
--- a/src/framework/http/httpfetch.h
+++ b/src/framework/http/httpfetch.h
@@ -27,11 +27,14 @@
     std::chrono::milliseconds readTimeout{30'000};
 };
 
-/// Receives a response as it arrives; all callbacks on the fetch's io_context.
+/// Receives a response as it arrives; all callbacks on the fetch's io_context. Refusing a body ends
+/// the exchange with response_error::refused.
 template <typename S>
 concept fetch_sink = requires(S &sink, std::string_view bytes, const fetch_outcome &outcome)
 {
-    sink.onBody(bytes);
+    {
+        sink.onBody(bytes)
+        } -> std::same_as<body_verdict>;
     sink.onDone(outcome);
 };
 
@@ -148,12 +151,16 @@
             m_status = m_parser.get().result_int();
         }
         const auto size = m_bytes.size() - m_parser.get().body().size;
-        if (m_parser.is_header_done() && size > 0) {
-            m_sink->onBody(std::string_view(m_bytes.data(), size));
-        }
+        const auto refused
+            = m_parser.is_header_done() && size > 0
+              && m_sink->onBody(std::string_view(m_bytes.data(), size)) == body_verdict::refuse;
         if (!m_sink) {
             return;
         }
+        if (refused) {
+            done(make_error_code(response_error::refused));
+            return;
+        }
         if (error || m_parser.is_done()) {
             if (!error) {
                 m_phase = fetch_phase::finished;
@@ -163,7 +170,7 @@
         }
         read();
     }
-    auto done(boost::system::error_code error) -> void
+    auto done(std::error_code error) -> void
     {
         m_stream.close();
         auto *sink = std::exchange(m_sink, nullptr);
@@ -176,7 +183,7 @@
     Sink *m_sink;
     fetch_options m_options;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{UNPARSED_LIMIT_BYTES};
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
     std::array<char, BUFFER_BYTES> m_bytes;
     fetch_phase m_phase = fetch_phase::connecting;
--- a/src/framework/http/httptypes.h
+++ b/src/framework/http/httptypes.h
@@ -57,6 +57,40 @@
     return fetchPhaseNames;
 }
 
+/// What the receiver of a body does with it.
+enum class body_verdict { take, refuse };
+inline constexpr std::array bodyVerdictNames{
+    enum_name<body_verdict>{body_verdict::take, "take"},
+    enum_name<body_verdict>{body_verdict::refuse, "refuse"},
+};
+constexpr auto namesOf(body_verdict) -> const auto &
+{
+    return bodyVerdictNames;
+}
+
+/// Largest number of bytes that a client buffers and cannot parse yet, such as a chunk's header.
+inline constexpr std::size_t UNPARSED_LIMIT_BYTES = 64 * 1024;
+
+/// Why a client closed the connection in the middle of a response.
+enum class response_error { refused = 1, too_much_skipped };
+inline constexpr std::array responseErrorNames{
+    enum_name<response_error>{response_error::refused, "response refused by its receiver"},
+    enum_name<response_error>{response_error::too_much_skipped,
+                              "too many bytes that belong to no request"},
+};
+constexpr auto namesOf(response_error) -> const auto &
+{
+    return responseErrorNames;
+}
+constexpr auto categoryNameOf(response_error) -> const char *
+{
+    return "response";
+}
+inline auto make_error_code(response_error e) -> std::error_code
+{
+    return errorCode(e);
+}
+
 /// Address of a TCP listener by IP number.
 struct endpoint
 {
@@ -92,3 +126,4 @@
 } // namespace marjoram
 
 MARJORAM_ERROR_ENUM(marjoram::endpoint_error)
+MARJORAM_ERROR_ENUM(marjoram::response_error)
--- a/src/framework/http/tests/httptests.cpp
+++ b/src/framework/http/tests/httptests.cpp
@@ -28,7 +28,11 @@
 
 struct collecting_sink
 {
-    auto onBody(std::string_view bytes) -> void { body.append(bytes); }
+    auto onBody(std::string_view bytes) -> body_verdict
+    {
+        body.append(bytes);
+        return body_verdict::take;
+    }
     auto onDone(const fetch_outcome &ended) -> void { outcome = ended; }
     std::string body;
     fetch_outcome outcome;
--- a/src/load/internal/loadrunner.cpp
+++ b/src/load/internal/loadrunner.cpp
@@ -67,7 +67,7 @@
     bool done = false;
     std::shared_ptr<http_fetch<request_state>> fetch;
 
-    auto onBody(std::string_view bytes) -> void;
+    auto onBody(std::string_view bytes) -> body_verdict;
     auto onDone(const fetch_outcome &outcome) -> void;
     auto takeEvent(std::string_view data) -> void;
 };
@@ -247,11 +247,11 @@
     bool m_arrivalsOver = false;
 };
 
-auto request_state::onBody(std::string_view bytes) -> void
+auto request_state::onBody(std::string_view bytes) -> body_verdict
 {
     if (stream.kind == load_kind::call || fetch->status() != HTTP_OK) {
         body.append(bytes);
-        return;
+        return body_verdict::take;
     }
     constexpr std::string_view DATA = "data: ";
     rest.append(bytes);
@@ -264,6 +264,7 @@
         }
     }
     rest.erase(0, taken);
+    return body_verdict::take;
 }
 
 auto request_state::takeEvent(std::string_view data) -> void
--- a/src/publications/documentwatch.h
+++ b/src/publications/documentwatch.h
@@ -47,11 +47,13 @@
 
     // --- called by the fetch
 
-    auto onBody(std::string_view bytes) -> void
+    auto onBody(std::string_view bytes) -> body_verdict
     {
-        if (m_body.size() + bytes.size() <= BODY_LIMIT_BYTES) {
-            m_body.append(bytes);
+        if (m_body.size() + bytes.size() > BODY_LIMIT_BYTES) {
+            return body_verdict::refuse;
         }
+        m_body.append(bytes);
+        return body_verdict::take;
     }
     auto onDone(const fetch_outcome &outcome) -> void
     {
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -110,11 +110,13 @@
         }
         return head_verdict::take;
     }
-    auto onBody(channel &, std::string_view bytes) -> void
+    auto onBody(channel &, std::string_view bytes) -> body_verdict
     {
-        if (m_body.size() < BODY_LIMIT_BYTES) {
-            m_body.append(bytes);
+        if (m_body.size() + bytes.size() > BODY_LIMIT_BYTES) {
+            return body_verdict::refuse;
         }
+        m_body.append(bytes);
+        return body_verdict::take;
     }
     auto onDone(channel &from, const channel_outcome &outcome) -> void
     {
--- /dev/null
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -0,0 +1,247 @@
+#include "upstream/upstreamduty.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+
+using namespace marjoram;
+
+namespace {
+
+/// Reads and writes the few fields that the tests need.
+struct plain_codec
+{
+    static auto encode(const send_request &send) -> http_request
+    {
+        return {.target = send.request->target};
+    }
+    static auto encode(const copy_run &) -> http_request { return {}; }
+    static auto encode(const release_kv_copy &) -> http_request { return {}; }
+    static auto identify(const channel_head &head, const std::string &requestId) -> answer_identity
+    {
+        const auto named = head.header("Id");
+        if (named.empty()) {
+            return answer_identity::unnamed;
+        }
+        return named == requestId ? answer_identity::expected : answer_identity::of_another_request;
+    }
+    static auto decode(const channel_head &head) -> response_head
+    {
+        return {.status = head.status};
+    }
+    static auto isEventStream(const channel_head &head) -> bool
+    {
+        return head.header("Content-Type") == "text/event-stream";
+    }
+    static auto idleTimeoutMs(const channel_head &) -> std::optional<std::int64_t>
+    {
+        return std::nullopt;
+    }
+    static auto decodeCopied(std::uint64_t copyId, int, std::string_view) -> run_copied
+    {
+        return {.copyId = copyId};
+    }
+};
+
+enum class answer_end { close, reset, never };
+
+/// What a server writes: a beginning, and then the same bytes until the client closes.
+struct scripted_answer
+{
+    std::string begin;
+    std::string repeat;
+    answer_end end = answer_end::never;
+};
+
+/// Server that takes one connection and plays a script.
+class scripted_server
+{
+public:
+    explicit scripted_server(scripted_answer script)
+        : m_script(std::move(script))
+        , m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
+        , m_thread([this] { serve(); })
+    { }
+    ~scripted_server() { m_thread.join(); }
+
+    auto address() const -> endpoint { return {.port = m_acceptor.local_endpoint().port()}; }
+    /// Bytes written before the client closed. Call after the client is done.
+    auto written() -> std::size_t
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] { return m_ended; });
+        return m_written;
+    }
+
+private:
+    /// Bound on what is written to a client that does not close.
+    static constexpr std::size_t WRITE_LIMIT_BYTES = 128 * 1024 * 1024;
+
+    auto serve() -> void
+    {
+        boost::system::error_code error;
+        boost::asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        std::string received;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+        boost::asio::write(socket, boost::asio::buffer(m_script.begin), error);
+        std::size_t written = 0;
+        while (!error && !m_script.repeat.empty() && written < WRITE_LIMIT_BYTES) {
+            written += boost::asio::write(socket, boost::asio::buffer(m_script.repeat), error);
+        }
+        if (m_script.end == answer_end::reset) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        }
+        socket.close(error);
+        const std::lock_guard lock(m_mutex);
+        m_written = written;
+        m_ended = true;
+        m_changed.notify_all();
+    }
+
+    scripted_answer m_script;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::size_t m_written = 0;
+    bool m_ended = false;
+    std::thread m_thread;
+};
+
+/// Events of one request to a scripted server, until its exchange has ended.
+class exchange_fixture
+{
+public:
+    exchange_fixture(scripted_answer script, bool stream)
+        : m_server(std::move(script))
+        , m_events(m_context, m_rings.fromServers, *this)
+        , m_commands(m_context, m_rings.toServers, 1)
+        , m_duty({}, m_rings)
+    {
+        m_events.start();
+        m_duty.start();
+        auto request = std::make_shared<forward_request>();
+        request->requestId = "r1";
+        m_commands.push(send_request{.exchangeId = 1,
+                                     .serverId = "s",
+                                     .server = m_server.address(),
+                                     .request = request,
+                                     .deadlineMs = 30'000,
+                                     .stream = stream});
+        m_context.run();
+        m_duty.stop();
+    }
+
+    /// Called by the ring reader.
+    auto handle(server_event &&event) -> void
+    {
+        if (const auto *advanced = std::get_if<stream_advanced>(&event)) {
+            m_streamEvents += advanced->events.size();
+            return;
+        }
+        if (!std::holds_alternative<stream_begun>(event)) {
+            m_last = std::move(event);
+            m_context.stop();
+        }
+    }
+    auto error() const -> std::error_code
+    {
+        const auto *failed = std::get_if<exchange_failed>(&m_last);
+        return failed ? failed->error : std::error_code{};
+    }
+    auto body() const -> std::string
+    {
+        const auto *received = std::get_if<response_received>(&m_last);
+        return received ? received->body : std::string{};
+    }
+    auto completed() const -> bool { return std::holds_alternative<stream_completed>(m_last); }
+    auto streamEvents() const -> std::size_t { return m_streamEvents; }
+    auto server() -> scripted_server & { return m_server; }
+
+private:
+    scripted_server m_server;
+    boost::asio::io_context m_context;
+    forward_rings m_rings;
+    ring_reader<server_event, exchange_fixture> m_events;
+    ring_writer<server_command> m_commands;
+    upstream_duty<plain_codec> m_duty;
+    server_event m_last;
+    std::size_t m_streamEvents = 0;
+};
+
+const std::string HEAD = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+const std::string STREAM_HEAD = HEAD + "Content-Type: text/event-stream\r\n";
+
+/// Plays an answer without end; it must fail, and the client must close soon.
+auto checkClosed(scripted_answer script, bool stream) -> void
+{
+    constexpr std::size_t CLOSED_WITHIN_BYTES = 32 * 1024 * 1024;
+    exchange_fixture f(std::move(script), stream);
+    CHECK(f.error());
+    CHECK(f.server().written() < CLOSED_WITHIN_BYTES);
+}
+
+} // namespace
+
+TEST_CASE("an answer with neither length nor chunks ends with its connection")
+{
+    exchange_fixture f({.begin = HEAD + "\r\nall of it", .end = answer_end::close}, false);
+    CHECK(f.body() == "all of it");
+}
+
+TEST_CASE("an answer without a length whose connection is reset is not complete")
+{
+    exchange_fixture f({.begin = HEAD + "\r\npart", .end = answer_end::reset}, false);
+    CHECK(f.error());
+}
+
+TEST_CASE("a stream without a length is complete after an event, and broken off within one")
+{
+    const auto event = std::string("id: 1\ndata: x\n\n");
+    exchange_fixture whole({.begin = STREAM_HEAD + "\r\n" + event, .end = answer_end::close}, true);
+    CHECK(whole.completed());
+    CHECK(whole.streamEvents() == 1);
+    exchange_fixture torn(
+        {.begin = STREAM_HEAD + "\r\n" + event + "id: 2\nda", .end = answer_end::close}, true);
+    CHECK(torn.error() == make_error_code(upstream_error::truncated_event));
+    CHECK(torn.streamEvents() == 1);
+}
+
+// The rest was read, and the caller kept waiting, until the request's deadline.
+TEST_CASE("a body without end is refused, and its connection closed")
+{
+    checkClosed({.begin = HEAD + "\r\n", .repeat = std::string(4'096, 'x')}, false);
+    checkClosed({.begin = HEAD + "Transfer-Encoding: chunked\r\n\r\n",
+                 .repeat = "1000\r\n" + std::string(4'096, 'x') + "\r\n"},
+                false);
+    checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = std::string(4'096, 'x')}, true);
+    checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = "data: x\n"}, true);
+}
+
+TEST_CASE("a head without end is refused, and its connection closed")
+{
+    checkClosed({.begin = HEAD, .repeat = "More: of it\r\n"}, false);
+    checkClosed({.begin = HEAD + "More: ", .repeat = std::string(4'096, 'x')}, false);
+    checkClosed({.repeat = "not an answer "}, false);
+    checkClosed({.repeat = "\r\n"}, false);
+    checkClosed({.repeat = "HTTP/1.1 100 Continue\r\n\r\n"}, true);
+}
+
+TEST_CASE("a chunk's header or a trailer without end is refused, and its connection closed")
+{
+    const auto chunked = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+    checkClosed({.begin = chunked + "5;", .repeat = std::string(4'096, 'x')}, false);
+    checkClosed({.begin = chunked + "0\r\n", .repeat = "More: of it\r\n"}, false);
+}
+
+TEST_CASE("bytes without end that belong to no request are refused, and their connection closed")
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nId: r0\r\n";
+    checkClosed({.begin = other + "\r\n", .repeat = std::string(4'096, 'x')}, false);
+    checkClosed({.repeat = other + "Content-Length: 1\r\n\r\nx"}, false);
+    checkClosed({.begin = "HTTP/1.1 200 OK\r\n\r\n", .repeat = std::string(4'096, 'x')}, false);
+}
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -161,7 +161,7 @@
                 return head_verdict::skip;
             case answer_identity::unnamed:
                 exchange.error = make_error_code(upstream_error::unidentified_answer);
-                break;
+                return head_verdict::refuse;
             case answer_identity::expected:
                 break;
             }
@@ -172,22 +172,22 @@
         exchange.idleTimeoutMs = Codec::idleTimeoutMs(head);
         constexpr int OK = 200;
         exchange.streaming = exchange.kind == exchange_kind::forward && exchange.send.stream
-                             && head.status == OK && !exchange.error && Codec::isEventStream(head);
+                             && head.status == OK && Codec::isEventStream(head);
         if (exchange.streaming) {
             publish(stream_begun{.exchangeId = exchange.send.exchangeId, .head = exchange.head});
         }
         return head_verdict::take;
     }
-    auto onBody(channel &from, std::string_view bytes) -> void
+    auto onBody(channel &from, std::string_view bytes) -> body_verdict
     {
         auto &exchange = m_exchanges.at(from.id());
         if (!exchange.streaming) {
             if (exchange.body.size() + bytes.size() > m_options.bodyLimitBytes) {
                 exchange.error = make_error_code(upstream_error::answer_too_large);
-                return;
+                return body_verdict::refuse;
             }
             exchange.body.append(bytes);
-            return;
+            return body_verdict::take;
         }
         std::vector<stream_event> events;
         if (!exchange.splitter.feed(bytes, events)) {
@@ -197,6 +197,7 @@
             publish(stream_advanced{.exchangeId = exchange.send.exchangeId,
                                     .events = std::move(events)});
         }
+        return exchange.error ? body_verdict::refuse : body_verdict::take;
     }
     auto onDone(channel &from, const channel_outcome &outcome) -> void
     {
