Quarantine of generations that crash engines on hosts of one's own

What callers saw: a generation that crashed its engine was continued on the next one, and broke the answers there too. A generation without an entry was requeued on the same engine for ever. Change: entries keep evidence about prompts whose engines were lost near their start and share it through agents, which keep it for entries that start. Quarantined generations are refused at once and not continued.

--- a/src/admission/enginecore.h
+++ b/src/admission/enginecore.h
@@ -217,7 +217,12 @@
         removeFromEngine(*run, false);
         settleCharge(*run);
         if (run->linkId == 0) {
-            requeue(*run);
+            // It may be what crashes the engine.
+            if (++run->engineFailures < m_options.maxEngineFailures) {
+                requeue(*run);
+            } else {
+                m_runs.erase(run->generation);
+            }
             return;
         }
         refuse(run->linkId, run->generation, run->attempt, failure::backend_server_lost,
--- a/src/admission/enginetypes.h
+++ b/src/admission/enginetypes.h
@@ -26,6 +26,8 @@
     std::size_t unsentLimit = 512;
     /// Time without new work for the engine after it has failed.
     std::int64_t engineBackoffUs = 500 * US_PER_MS;
+    /// Engine failures after which a generation without an entry is dropped.
+    std::uint32_t maxEngineFailures = 2;
     /// Wait after which an urgent bid may preempt running standard work.
     std::int64_t urgentPatienceUs = 100 * US_PER_MS;
     /// Wait after which an underserved team may preempt a team that has more than its even share of
--- a/src/admission/generationrun.h
+++ b/src/admission/generationrun.h
@@ -38,6 +38,8 @@
     bool reattachable = true;
     /// Has been preempted in favour of other work, which happens only once.
     bool preemptedForOther = false;
+    /// Engine failures that it has met here.
+    std::uint32_t engineFailures = 0;
     /// Tokens charged to the team so far, including those expected but not yet produced.
     double chargedTokens = 0.0;
     /// Tokens produced by earlier attempts, which are not charged again.
--- a/src/agent/internal/admissionduty.cpp
+++ b/src/agent/internal/admissionduty.cpp
@@ -1,5 +1,7 @@
 #include "agent/admissionduty.h"
 
+#include "quarantine/observationlog.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <unordered_map>
@@ -121,6 +123,7 @@
         if (up.hello.role == process_role::entry) {
             entryLinks.insert(up.linkId);
             toEntry(up.linkId, report());
+            sendObservations(up.linkId, observations.collect(time_us{INT64_MIN}, clock.now()));
         }
     }
     auto onPeerDown(const peer_down &down) -> void
@@ -186,6 +189,25 @@
                                          .contentType = std::move(message.contentType),
                                          .body = std::move(message.body)}});
     }
+    /// Keeps what an entry has seen of its runs and passes it on to all entries.
+    auto onMessage(std::uint64_t, run_observations_frame &&message) -> void
+    {
+        std::vector<run_observation> added;
+        for (auto &seen : message.observations) {
+            if (observations.add(seen, clock.now())) {
+                added.push_back(std::move(seen));
+            }
+        }
+        for (const auto linkId : entryLinks) {
+            sendObservations(linkId, added);
+        }
+    }
+    auto sendObservations(std::uint64_t linkId, const std::vector<run_observation> &seen) -> void
+    {
+        for (auto &part : framesOf(seen)) {
+            toEntry(linkId, std::move(part));
+        }
+    }
     auto onMessage(std::uint64_t linkId, auto &&) -> void
     {
         LOG_EVERY_N(WARNING, 100) << "unexpected kind of frame on link " << linkId;
@@ -371,6 +393,7 @@
     std::optional<time_us> timerDue;
     system_clock_source clock;
     random_source random{systemSeed()};
+    observation_log observations{{}};
     engine_type engine;
     service_type service;
     order_core<system_clock_source> orders;
--- a/src/dispatching/generationdispatcher.h
+++ b/src/dispatching/generationdispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatching/streamstate.h"
 #include "framework/global/timerqueue.h"
 #include "limits/retrybudget.h"
+#include "quarantine/crashevidence.h"
 #include "routing/agentdirectory.h"
 
 #include <algorithm>
@@ -26,6 +27,10 @@
     std::int64_t rebidDelayUs = 100 * US_PER_MS;
     std::size_t streamLimit = 20'000;
     retry_budget_options retries;
+    crash_evidence_options evidence;
+    /// Tokens after which an attempt has survived its start. One that is lost later is not blamed
+    /// for the loss of its engine.
+    std::uint64_t tokensToSurvive = 16;
 };
 
 /// Receives the actions of the dispatchers.
@@ -47,6 +52,7 @@
     std::uint64_t superseded = 0;
     std::uint64_t staleTokens = 0;
     std::uint64_t bids = 0;
+    std::uint64_t quarantined = 0;
 };
 
 /// Routes an entry's generations: checks requests, bids at agents, filters the tokens that enter a
@@ -65,6 +71,7 @@
         , m_directory(directory)
         , m_sink(sink)
         , m_retries(m_options.retries)
+        , m_evidence(m_options.evidence)
     {
         static_assert(dispatcher_sink<Sink>);
     }
@@ -90,6 +97,12 @@
             reject(open.callerId, failure::overloaded);
             return;
         }
+        const auto until = open.resumeAfter ? std::nullopt : quarantinedUntil(traitsOf(*resolved));
+        if (until) {
+            ++m_counts.quarantined;
+            reject(open.callerId, failure::quarantined, msUntil(*until));
+            return;
+        }
         m_retries.recordFirstAttempt();
         auto &stream = openStream(open, std::move(*resolved));
         countAsWaiting(stream);
@@ -177,6 +190,7 @@
         }
         if (refusal.reason == failure::backend_server_lost) {
             m_directory.recordFailure(host, m_clock.now());
+            recordLostRun(*stream, host);
         }
         startNewAttempt(*stream);
     }
@@ -196,6 +210,10 @@
             ++m_counts.staleTokens;
             return;
         }
+        stream->attemptTokens += batch.tokens.size();
+        if (stream->attemptTokens >= m_options.tokensToSurvive) {
+            recordSurvivor(*stream, host);
+        }
         deliver(*stream, std::move(batch.tokens));
     }
     auto onFinished(const std::string &host, const finished_frame &finished) -> void
@@ -211,6 +229,7 @@
         }
         ++m_counts.finished;
         m_directory.recordSuccess(host);
+        recordSurvivor(*stream, host);
         m_sink.toCaller(deliver_finish{.callerId = stream->callerId,
                                        .generation = stream->generation,
                                        .host = host,
@@ -219,6 +238,14 @@
                                        .reason = finished.reason});
         close(*stream);
     }
+    /// Takes what other entries have seen of their runs, passed on by an agent.
+    auto onObservations(const std::vector<run_observation> &observations) -> void
+    {
+        for (const auto &seen : observations) {
+            m_evidence.add(seen, m_clock.now());
+        }
+        failQuarantinedBids();
+    }
     /// Reattaches the generations that were running on the host.
     auto onLinkUp(const std::string &host) -> void
     {
@@ -276,6 +303,7 @@
     }
     auto counts() const -> const generation_dispatcher_counts & { return m_counts; }
     auto streams() const -> std::size_t { return m_streams.size(); }
+    auto quarantines() const -> std::size_t { return m_evidence.signatures().size(); }
     /// Returns the caller of an open generation.
     auto callerOf(const generation_id &generation) const -> std::optional<std::uint64_t>
     {
@@ -287,6 +315,8 @@
     static constexpr std::uint32_t MIN_RETRY_AFTER_MS = 1'000;
     /// Attempts to cancel on reconnect, kept per agent whose link is down.
     static constexpr std::size_t ORPHAN_LIMIT = 1'024;
+    /// Agents that pass an observation on to all entries; several, since agents fail too.
+    static constexpr std::size_t OBSERVATION_RELAY_COUNT = 3;
 
     enum class timer_kind { extra_bid, rebid, deadline, reconnect };
     struct timer_key
@@ -320,6 +350,7 @@
                             .openedAt = now};
         const auto waitMs = m_manifest->rankOf(request.workRank).deadlineMs;
         stream.deadline = now + waitMs * US_PER_MS;
+        stream.traits = traitsOf(request);
         stream.request = std::move(request);
         stream.sequencer.beginAttempt(1);
         m_timers.set({timer_kind::deadline, id}, stream.deadline);
@@ -351,13 +382,14 @@
         m_generationByCaller.erase(stream.callerId);
         m_streams.erase(generation_id{stream.generation});
     }
-    auto reject(std::uint64_t callerId, failure reason) -> void
+    auto reject(std::uint64_t callerId, failure reason,
+                std::uint32_t retryAfterMs = MIN_RETRY_AFTER_MS) -> void
     {
         ++m_counts.failed;
         m_sink.toCaller(deliver_failure{.callerId = callerId,
                                         .reason = reason,
                                         .ran = run_state::not_run,
-                                        .retryAfterMs = MIN_RETRY_AFTER_MS});
+                                        .retryAfterMs = retryAfterMs});
     }
     auto fail(stream_state &stream, failure reason, run_state ran, std::uint32_t retryAfterMs)
         -> void
@@ -372,6 +404,75 @@
         close(stream);
     }
 
+    // --- requests that crash engines
+
+    auto quarantinedUntil(const std::vector<std::uint64_t> &traits) const -> std::optional<time_us>
+    {
+        return m_evidence.quarantinedUntil(traits, m_clock.now());
+    }
+    auto msUntil(time_us when) const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>((when - m_clock.now()) / US_PER_MS);
+    }
+    auto recordLostRun(const stream_state &stream, const std::string &host) -> void
+    {
+        // An agent that leaves hands its generations back although its engine has not crashed.
+        const auto *view = m_directory.find(host);
+        if (stream.attemptTokens < m_options.tokensToSurvive && view && !view->leaving()) {
+            share(stream, run_fate::lost_in_crash, host, stream.traits);
+        }
+    }
+    auto recordSurvivor(stream_state &stream, const std::string &host) -> void
+    {
+        if (std::exchange(stream.survivedStart, true)) {
+            return;
+        }
+        auto suspects = m_evidence.suspectsAmong(stream.traits);
+        if (!suspects.empty()) {
+            share(stream, run_fate::survived, host, std::move(suspects));
+        }
+    }
+    auto share(const stream_state &stream, run_fate fate, const std::string &host,
+               std::vector<std::uint64_t> traits) -> void
+    {
+        const auto requestId
+            = toText(stream.generation) + "/" + std::to_string(stream.sequencer.attempt());
+        const run_observation seen{
+            .fate = fate, .serverId = host, .requestId = requestId, .traits = std::move(traits)};
+        m_evidence.add(seen, m_clock.now());
+        std::vector<std::string> connected;
+        for (const auto &[name, view] : m_directory.views()) {
+            if (view.connected) {
+                connected.push_back(name);
+            }
+        }
+        std::vector<std::string> relays;
+        std::sample(connected.begin(), connected.end(), std::back_inserter(relays),
+                    OBSERVATION_RELAY_COUNT, m_random);
+        for (const auto &relay : relays) {
+            m_sink.toAgent(relay, run_observations_frame{.observations = {seen}});
+        }
+    }
+    auto failQuarantined(stream_state &stream, time_us until) -> void
+    {
+        ++m_counts.quarantined;
+        const auto ran = stream.sequencer.attempt() > 1 ? run_state::unknown : run_state::not_run;
+        fail(stream, failure::quarantined, ran, msUntil(until));
+    }
+    auto failQuarantinedBids() -> void
+    {
+        std::vector<generation_id> affected;
+        for (const auto &[generation, stream] : m_streams) {
+            if (stream.phase == stream_phase::bidding && quarantinedUntil(stream.traits)) {
+                affected.push_back(generation);
+            }
+        }
+        for (const auto &generation : affected) {
+            auto &stream = m_streams.at(generation);
+            failQuarantined(stream, *quarantinedUntil(stream.traits));
+        }
+    }
+
     // --- bidding
 
     /// Bids for the current attempt at agents that haven't refused it.
@@ -502,6 +603,8 @@
         m_timers.cancel({timer_kind::deadline, stream.generation});
         stream.phase = stream_phase::running;
         stream.host = host;
+        stream.attemptTokens = 0;
+        stream.survivedStart = false;
         stream.refusedBy.clear();
         m_directory.hints().add(stream.prefix, host);
         m_sink.toAgent(host, start_frame{.generation = stream.generation,
@@ -545,6 +648,10 @@
             fail(stream, failure::generation_lost, run_state::unknown, 0);
             return;
         }
+        if (const auto until = quarantinedUntil(stream.traits)) {
+            fail(stream, failure::quarantined, run_state::unknown, msUntil(*until));
+            return;
+        }
         ++m_counts.continued;
         if (stream.phase == stream_phase::lost) {
             rememberOrphan(stream);
@@ -706,6 +813,7 @@
     std::unordered_map<std::string, std::vector<cancel_frame>> m_orphans;
     timer_queue<timer_key> m_timers;
     retry_budget m_retries;
+    crash_evidence m_evidence;
     generation_dispatcher_counts m_counts;
     std::uint64_t m_lastAttachId = 0;
     bool m_draining = false;
--- a/src/dispatching/streamstate.h
+++ b/src/dispatching/streamstate.h
@@ -45,6 +45,11 @@
     /// Agent that runs the generation or that was asked to attach.
     std::string host;
     token_sequencer sequencer;
+    /// Hashes that the request shares with others that may crash engines.
+    std::vector<std::uint64_t> traits;
+    /// Tokens of the current attempt, and whether it counts as having survived its start.
+    std::uint64_t attemptTokens = 0;
+    bool survivedStart = false;
     /// The whole answer so far, from position 0.
     std::vector<std::string> tokens;
     /// Number of tokens that a reconnecting caller already has.
--- a/src/entry/dispatchduty.h
+++ b/src/entry/dispatchduty.h
@@ -23,6 +23,8 @@
     streams_superseded,
     tokens_stale,
     bids_sent,
+    generations_quarantined,
+    quarantines,
     agents_connected,
 };
 inline constexpr std::array dispatchMetricNames{
@@ -35,6 +37,8 @@
     enum_name<dispatch_metric>{dispatch_metric::streams_superseded, "streams_superseded"},
     enum_name<dispatch_metric>{dispatch_metric::tokens_stale, "tokens_stale"},
     enum_name<dispatch_metric>{dispatch_metric::bids_sent, "bids_sent"},
+    enum_name<dispatch_metric>{dispatch_metric::generations_quarantined, "generations_quarantined"},
+    enum_name<dispatch_metric>{dispatch_metric::quarantines, "quarantines_active"},
     enum_name<dispatch_metric>{dispatch_metric::agents_connected, "agents_connected"},
 };
 constexpr auto namesOf(dispatch_metric) -> const auto &
--- a/src/entry/internal/dispatchduty.cpp
+++ b/src/entry/internal/dispatchduty.cpp
@@ -121,6 +121,10 @@
     {
         directory.onReport(host, message, clock.now());
     }
+    auto onMessage(const std::string &, run_observations_frame &&message) -> void
+    {
+        generations.onObservations(message.observations);
+    }
     auto onMessage(const std::string &host, auto &&) -> void
     {
         LOG_EVERY_N(WARNING, 100) << "unexpected kind of frame from " << host;
@@ -193,6 +197,8 @@
         setMetric(dispatch_metric::streams_superseded, counts.superseded);
         setMetric(dispatch_metric::tokens_stale, counts.staleTokens);
         setMetric(dispatch_metric::bids_sent, counts.bids);
+        setMetric(dispatch_metric::generations_quarantined, counts.quarantined);
+        setMetric(dispatch_metric::quarantines, generations.quarantines());
         if (state.draining) {
             state.drained = generations.drained() && calls.drained();
         }
--- a/src/generations/generationrequest.h
+++ b/src/generations/generationrequest.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace marjoram {
 
@@ -57,6 +58,9 @@
 
 /// Estimates the number of tokens of a prompt from its size in bytes. Thread safe.
 auto estimatePromptTokens(const generation_request &request) -> std::uint32_t;
+/// What a request may share with others that crash engines: hashes of the model, the adapter and
+/// the beginning of the prompt, at doubling lengths up to the whole. Thread safe.
+auto traitsOf(const generation_request &request) -> std::vector<std::uint64_t>;
 /// Hash of the model, the adapter and the first bytes of the prompt. Requests that may share a
 /// cached prefix have the same hash. Thread safe.
 auto prefixHash(const generation_request &request) -> std::uint64_t;
