Quarantine: names and counts that a newcomer would misread

Cause: onServerStarted was also called for servers that had stopped; the metric quarantines_active counted quarantines that had ended; "all observations" was a smallest time at three places.

--- a/src/agent/internal/admissionduty.cpp
+++ b/src/agent/internal/admissionduty.cpp
@@ -123,7 +123,7 @@
         if (up.hello.role == process_role::entry) {
             entryLinks.insert(up.linkId);
             toEntry(up.linkId, report());
-            sendObservations(up.linkId, observations.collect(time_us{INT64_MIN}, clock.now()));
+            sendObservations(up.linkId, observations.collectAll(clock.now()));
         }
     }
     auto onPeerDown(const peer_down &down) -> void
--- a/src/dispatching/generationdispatcher.h
+++ b/src/dispatching/generationdispatcher.h
@@ -303,7 +303,8 @@
     }
     auto counts() const -> const generation_dispatcher_counts & { return m_counts; }
     auto streams() const -> std::size_t { return m_streams.size(); }
-    auto quarantines() const -> std::size_t { return m_evidence.signatures().size(); }
+    /// Number of quarantines in force.
+    auto quarantines() const -> std::size_t { return m_evidence.activeCount(m_clock.now()); }
     /// Returns the caller of an open generation.
     auto callerOf(const generation_id &generation) const -> std::optional<std::uint64_t>
     {
@@ -453,10 +454,9 @@
             m_sink.toAgent(relay, run_observations_frame{.observations = {seen}});
         }
     }
-    auto failQuarantined(stream_state &stream, time_us until) -> void
+    auto failQuarantined(stream_state &stream, run_state ran, time_us until) -> void
     {
         ++m_counts.quarantined;
-        const auto ran = stream.sequencer.attempt() > 1 ? run_state::unknown : run_state::not_run;
         fail(stream, failure::quarantined, ran, msUntil(until));
     }
     auto failQuarantinedBids() -> void
@@ -469,7 +469,9 @@
         }
         for (const auto &generation : affected) {
             auto &stream = m_streams.at(generation);
-            failQuarantined(stream, *quarantinedUntil(stream.traits));
+            const auto ran
+                = stream.sequencer.attempt() > 1 ? run_state::unknown : run_state::not_run;
+            failQuarantined(stream, ran, *quarantinedUntil(stream.traits));
         }
     }
 
@@ -649,7 +651,7 @@
             return;
         }
         if (const auto until = quarantinedUntil(stream.traits)) {
-            fail(stream, failure::quarantined, run_state::unknown, msUntil(*until));
+            failQuarantined(stream, run_state::unknown, *until);
             return;
         }
         ++m_counts.continued;
--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -67,10 +67,8 @@
                    ? std::nullopt
                    : m_evidence.quarantinedUntil(traitsOf(request), m_clock.now());
     }
-    auto signatures() const -> const std::vector<crash_signature> &
-    {
-        return m_evidence.signatures();
-    }
+    /// Number of quarantines in force.
+    auto activeCount() const -> std::size_t { return m_evidence.activeCount(m_clock.now()); }
 
     // --- runs of this entry
 
@@ -92,7 +90,7 @@
                                           .traits = traitsOf(*request.request)},
                                  .at = now});
         if (m_downSince.contains(run.serverId)) {
-            onServerStarted(run.serverId);
+            confirmLosses(run.serverId);
         }
     }
     /// Call when a run has passed on events, or when its server has answered.
@@ -123,27 +121,10 @@
     auto onServerDown(const std::string &serverId) -> void
     {
         m_downSince.insert_or_assign(serverId, m_clock.now());
-        onServerStarted(serverId);
+        confirmLosses(serverId);
     }
     /// A process has started under the id of a server, so an earlier one has ended.
-    auto onServerStarted(const std::string &serverId) -> void
-    {
-        const auto now = m_clock.now();
-        dropUnconfirmed(now);
-        std::vector<run_observation> confirmed;
-        std::erase_if(m_unconfirmed, [&](delayed_observation &loss) {
-            if (loss.seen.serverId != serverId) {
-                return false;
-            }
-            loss.seen.ageMs = (now - loss.at) / US_PER_MS;
-            confirmed.push_back(std::move(loss.seen));
-            return true;
-        });
-        if (!confirmed.empty()) {
-            add(confirmed);
-            m_host.toReporter(share_observations{std::move(confirmed)});
-        }
-    }
+    auto onServerStarted(const std::string &serverId) -> void { confirmLosses(serverId); }
 
     // --- other entries
 
@@ -184,6 +165,25 @@
         time_us at;
     };
 
+    /// Turns the runs that were just lost on a server into evidence, since it has crashed.
+    auto confirmLosses(const std::string &serverId) -> void
+    {
+        const auto now = m_clock.now();
+        dropUnconfirmed(now);
+        std::vector<run_observation> confirmed;
+        std::erase_if(m_unconfirmed, [&](delayed_observation &loss) {
+            if (loss.seen.serverId != serverId) {
+                return false;
+            }
+            loss.seen.ageMs = (now - loss.at) / US_PER_MS;
+            confirmed.push_back(std::move(loss.seen));
+            return true;
+        });
+        if (!confirmed.empty()) {
+            add(confirmed);
+            m_host.toReporter(share_observations{std::move(confirmed)});
+        }
+    }
     auto shareSurvivors() -> void
     {
         std::vector<run_observation> due;
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -90,7 +90,8 @@
         m_quarantine.onObservations(observations);
         endQuarantinedRequests();
     }
-    auto quarantines() const -> std::size_t { return m_quarantine.signatures().size(); }
+    /// Number of quarantines in force.
+    auto quarantines() const -> std::size_t { return m_quarantine.activeCount(); }
     /// From now on refuses requests that may not finish before `stopAt`. Idempotent.
     auto drain(time_us stopAt) -> void { m_admission.setStopTime(stopAt); }
     auto drained() const -> bool { return m_requests.empty(); }
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -73,6 +73,7 @@
     /// Whether the response has begun, and the number of events received since.
     bool begun = false;
     std::uint64_t events = 0;
+    /// Whether it has come so far that it did not crash the server.
     bool survivedStart = false;
 };
 
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -61,6 +61,8 @@
     /// Returns the latest observations that the quarantines in force rest on, with their present
     /// age.
     auto supportingObservations(time_us now) const -> std::vector<run_observation>;
+    /// Number of quarantines in force.
+    auto activeCount(time_us now) const -> std::size_t;
     /// Signatures of all quarantines, also of those that have ended since the last observation.
     auto signatures() const -> const std::vector<crash_signature> & { return m_signatures; }
 
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -77,18 +77,27 @@
 auto crash_evidence::supportingObservations(time_us now) const -> std::vector<run_observation>
 {
     std::vector<run_observation> out;
-    for (auto run = m_lostRuns.rbegin(); run != m_lostRuns.rend(); ++run) {
-        if (out.size() < SUPPORTING_OBSERVATION_LIMIT && quarantinedUntil(run->traits, now)) {
+    for (const auto &run : m_lostRuns) {
+        if (quarantinedUntil(run.traits, now)) {
             out.push_back({.fate = run_fate::lost_in_crash,
-                           .serverId = run->serverId,
-                           .requestId = run->requestId,
-                           .traits = run->traits,
-                           .ageMs = (now - run->at) / US_PER_MS});
+                           .serverId = run.serverId,
+                           .requestId = run.requestId,
+                           .traits = run.traits,
+                           .ageMs = (now - run.at) / US_PER_MS});
         }
     }
+    const auto surplus = out.size() - std::min(out.size(), SUPPORTING_OBSERVATION_LIMIT);
+    out.erase(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(surplus));
     return out;
 }
 
+auto crash_evidence::activeCount(time_us now) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_signatures.begin(), m_signatures.end(),
+                      [now](const crash_signature &one) { return one.until > now; }));
+}
+
 auto crash_evidence::addLostRun(const run_observation &seen, time_us at) -> bool
 {
     const auto known = std::any_of(m_lostRuns.begin(), m_lostRuns.end(), [&](const lost_run &run) {
--- a/src/quarantine/internal/observationlog.cpp
+++ b/src/quarantine/internal/observationlog.cpp
@@ -35,4 +35,9 @@
     return out;
 }
 
+auto observation_log::collectAll(time_us now) const -> std::vector<run_observation>
+{
+    return collect({INT64_MIN}, now);
+}
+
 } // namespace marjoram
--- a/src/quarantine/observationlog.h
+++ b/src/quarantine/observationlog.h
@@ -29,6 +29,7 @@
     /// Returns the observations that were added at `since` or later, oldest first, with their
     /// present age.
     auto collect(time_us since, time_us now) const -> std::vector<run_observation>;
+    auto collectAll(time_us now) const -> std::vector<run_observation>;
 
 private:
     struct entry_record
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -114,13 +114,14 @@
         if (!known && m_polled) {
             m_sink.send(listener, nextReport());
         }
-        const auto since = missedNone ? now + -m_options.observationRepeatUs : time_us{INT64_MIN};
-        sendObservations(listener, m_observations.collect(since, now));
+        const auto repeatSince = now + -m_options.observationRepeatUs;
+        sendObservations(listener, missedNone ? m_observations.collect(repeatSince, now)
+                                              : m_observations.collectAll(now));
     }
     /// Sends all observations to an entry that has just started or has just learnt of this server.
     auto onObservationsRequest(const endpoint &from) -> void
     {
-        sendObservations(from, m_observations.collect(time_us{INT64_MIN}, m_clock.now()));
+        sendObservations(from, m_observations.collectAll(m_clock.now()));
     }
     /// Keeps the observations of an entry and passes those that are new on to all entries.
     auto onObservations(const run_observations_frame &received) -> void
