Quarantine: moved runs that have produced nothing are neither exempt nor ignored

What callers saw: none yet; found by reading for the same cause in moves. An engine may begin its response before it writes the first event. A run moved off a leaving server in between was sent on although its request was quarantined, and if it crashed the target, that did not count as evidence. So each crashing request on a leaving server cost one more engine, and its streams. Cause: a run that resumes from a copy was taken for one that had survived its start, whatever it had produced. Change: the number of events moves along with the run. A copied run is exempt, and no evidence, only once it has produced enough of them; otherwise it fails at the move, and its copy is released.

--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -77,9 +77,8 @@
     {
         const auto &run = request.run;
         const auto *view = m_directory.find(run.serverId);
-        // A server that shuts down as announced has not crashed, and a copied run has survived its
-        // start elsewhere.
-        if (run.copy || run.events >= m_options.eventsToSurvive || (view && view->leaving())) {
+        // A server that shuts down as announced has not crashed.
+        if (run.events >= m_options.eventsToSurvive || (view && view->leaving())) {
             return;
         }
         const auto now = m_clock.now();
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -190,8 +190,13 @@
     {
         const auto now = m_clock.now();
         m_placer.cancelPlacement(request);
-        const auto until = copy ? std::nullopt : m_quarantine.quarantinedUntil(*request.request);
+        const auto survivedStart = copy && request.run.survivedStart;
+        const auto until
+            = survivedStart ? std::nullopt : m_quarantine.quarantinedUntil(*request.request);
         if (until) {
+            if (copy) {
+                m_sink.toServer(release_kv_copy{*copy});
+            }
             failQuarantined(request, *until);
             return;
         }
@@ -200,7 +205,9 @@
                        .serverId = serverId,
                        .server = server,
                        .tokens = request.isGeneration() ? m_placer.expectedTokens(request) : 0,
-                       .copy = copy};
+                       .copy = copy,
+                       .events = copy ? request.run.events : 0,
+                       .survivedStart = survivedStart};
         ++request.sends;
         m_requestByExchange.emplace(request.run.exchangeId, request.number);
         m_directory.recordSent(serverId, request.run.tokens);
@@ -700,7 +707,7 @@
                                 || request->phase == request_phase::asking;
             const auto unanswered
                 = request->phase == request_phase::sent && request->isGeneration();
-            const auto until = (unsent || unanswered) && !request->run.copy
+            const auto until = unsent || unanswered
                                    ? m_quarantine.quarantinedUntil(*request->request)
                                    : std::nullopt;
             if (until) {
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -70,10 +70,11 @@
     std::uint64_t tokens = 0;
     /// Copy from which an earlier run resumes; unset for a new run.
     std::optional<kv_copy> copy;
-    /// Whether the response has begun, and the number of events received since.
+    /// Whether the response of this server has begun.
     bool begun = false;
+    /// Events received, from servers before a move too, and whether they are so many that the run
+    /// does not crash servers.
     std::uint64_t events = 0;
-    /// Whether it has come so far that it did not crash the server.
     bool survivedStart = false;
 };
 
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -1,191 +1,13 @@
-#include "forwarding/forwardingcore.h"
+#include "forwarding/tests/forwardingfixture.h"
 
 #include <doctest/doctest.h>
 
 using namespace marjoram;
-
-namespace {
-
-/// Records the actions of the core.
-struct recording_sink
-{
-    std::vector<forward_action> toCallers;
-    std::vector<server_command> toServers;
-    std::vector<request_room> roomRequests;
-    std::vector<notify_move> notified;
-
-    auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
-    auto toServer(server_command command) -> void { toServers.push_back(std::move(command)); }
-    auto toReporter(reporter_command command) -> void
-    {
-        if (auto *room = std::get_if<request_room>(&command)) {
-            roomRequests.push_back(std::move(*room));
-        } else {
-            notified.push_back(std::get<notify_move>(std::move(command)));
-        }
-    }
-    auto log(log_event, const std::string &, std::vector<log_field>) -> void { }
-    auto observe(latency_kind, std::int64_t) -> void { }
-
-    template <typename T>
-    auto callers() const -> std::vector<T>
-    {
-        return pick<T>(toCallers);
-    }
-    template <typename T>
-    auto servers() const -> std::vector<T>
-    {
-        return pick<T>(toServers);
-    }
-    template <typename T>
-    static auto pick(const auto &from) -> std::vector<T>
-    {
-        std::vector<T> out;
-        for (const auto &one : from) {
-            if (const auto *found = std::get_if<T>(&one)) {
-                out.push_back(*found);
-            }
-        }
-        return out;
-    }
-};
-
-auto tableOf() -> route_table_ptr
-{
-    route_table_content content{.version = 1};
-    const auto add = [&](std::string prefix, work_kind kind, std::uint32_t attempts, bool resumable,
-                         std::string pool) {
-        content.routes.push_back({.name = prefix,
-                                  .host = "h",
-                                  .pathPrefix = "/" + prefix + "/",
-                                  .kind = kind,
-                                  .timeoutMs = 4'000,
-                                  .latencyTargetMs = 300,
-                                  .attempts = attempts,
-                                  .pools = {{.pool = std::move(pool)}},
-                                  .resumable = resumable});
-    };
-    add("book", work_kind::at_most_once, 1, false, "desk");
-    add("look", work_kind::repeatable, 2, false, "desk");
-    add("draft", work_kind::generation, 1, false, "engines");
-    add("label", work_kind::generation, 2, true, "engines");
-    content.pools.push_back({.name = "desk"});
-    content.pools.push_back({.name = "engines",
-                             .engine = engine_traits{.slots = 24,
-                                                     .memoryTokens = 34'000,
-                                                     .bytesPerToken = 327'680,
-                                                     .linkMbps = 47'000.0,
-                                                     .moves = true,
-                                                     .tokensPerEvent = 4}});
-    return std::make_shared<const route_table>(std::move(content));
-}
-
-auto serverOf(std::string id, std::string pool) -> server_entry
-{
-    const auto port = static_cast<std::uint16_t>(1'000 + id.back());
-    return {.id = std::move(id),
-            .pool = std::move(pool),
-            .address = {.address = "10.0.0.1", .port = port},
-            .dataCentre = "d",
-            .slots = 6};
-}
-
-/// A core on virtual time with two servers in each pool.
-struct fixture
-{
-    virtual_clock_source::state time;
-    server_directory directory{{}};
-    recording_sink sink;
-    forwarding_core<sampled_least_loaded, virtual_clock_source, recording_sink> core{
-        {.dataCentre = "d", .initialEntryCount = 1},
-        virtual_clock_source(&time),
-        1,
-        directory,
-        sink};
-    std::uint64_t lastCaller = 0;
-
-    fixture()
-    {
-        core.onRouteTable(tableOf());
-        core.onServerList({serverOf("i-a", "desk"), serverOf("i-b", "desk"),
-                           serverOf("i-c", "engines"), serverOf("i-d", "engines")});
-    }
-    auto openRequest(const std::string &prefix) -> std::uint64_t
-    {
-        auto request = std::make_shared<forward_request>();
-        request->callerId = ++lastCaller;
-        request->requestId = "r" + std::to_string(lastCaller);
-        request->method = "POST";
-        request->target = "/" + prefix + "/x";
-        request->host = "h";
-        request->callerTimeoutMs = 4'000;
-        request->generation.promptTokens = 3'000;
-        request->generation.maxOutputTokens = 1'000;
-        core.onRequest({request});
-        return lastCaller;
-    }
-    auto lastSend() -> send_request { return sink.servers<send_request>().back(); }
-    auto sends() -> std::size_t { return sink.servers<send_request>().size(); }
-    auto failExchange(fetch_phase phase) -> void
-    {
-        core.onEvent(exchange_failed{.exchangeId = lastSend().exchangeId,
-                                     .phase = phase,
-                                     .error = make_error_code(failure::backend_server_lost)});
-    }
-    auto beginStream() -> void { core.onEvent(stream_begun{.exchangeId = lastSend().exchangeId}); }
-    auto streamEvents(std::uint64_t from, std::uint64_t to) -> void
-    {
-        stream_advanced advanced{.exchangeId = lastSend().exchangeId};
-        for (auto id = from; id <= to; ++id) {
-            advanced.events.push_back({.id = id, .bytes = std::to_string(id) + ";"});
-        }
-        core.onEvent(std::move(advanced));
-    }
-    auto deliveredBytes() const -> std::string
-    {
-        std::string out;
-        for (const auto &events : sink.callers<send_response_events>()) {
-            out += events.bytes;
-        }
-        return out;
-    }
-    auto advance(std::int64_t ms) -> void
-    {
-        time.now = time.now + ms * US_PER_MS;
-        core.onTimer();
-    }
-    /// The server of the last send reports that it is leaving and that the last request may be
-    /// moved.
-    auto reportLeaving() -> void { reportLeaving(lastSend().request->requestId); }
-    auto reportLeaving(const std::string &turn, std::int64_t leavesMs = 1'500) -> void
-    {
-        core.onReport(lastSend().serverId, {.state = server_state::leaving,
-                                            .leavesMs = leavesMs,
-                                            .runs = {{lastSend().request->requestId, 3'000, 100}},
-                                            .turn = turn});
-    }
-    auto completeCopy(copy_outcome outcome, std::string handle) -> void
-    {
-        core.onEvent(run_copied{.copyId = sink.servers<copy_run>().back().copyId,
-                                .outcome = outcome,
-                                .handle = std::move(handle)});
-    }
-    auto replyToRoomRequest(room_verdict verdict) -> void
-    {
-        const auto room = sink.roomRequests.back();
-        core.onRoomReply({.askId = room.askId,
-                          .verdict = verdict,
-                          .serverId = room.serverId,
-                          .report = {.capacityTokens = 34'000}});
-    }
-    auto copyCommands() const -> std::size_t { return sink.servers<copy_run>().size(); }
-};
-
-} // namespace
+using namespace marjoram::testing;
 
 TEST_CASE("a response is forwarded unchanged")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("book");
     f.core.onEvent(response_received{
         .exchangeId = f.lastSend().exchangeId, .head = {.status = 200}, .body = "ok"});
@@ -196,7 +18,7 @@
 
 TEST_CASE("an at-most-once request is retried only if it certainly has not run")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("book");
     f.failExchange(fetch_phase::connecting);
     CHECK(f.sends() == 2);
@@ -209,7 +31,7 @@
 
 TEST_CASE("a status that means not run is not forwarded for an at-most-once request")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("book");
     f.core.onEvent(
         response_received{.exchangeId = f.lastSend().exchangeId, .head = {.status = 503}});
@@ -219,7 +41,7 @@
 
 TEST_CASE("a server that did not run a request is excluded from the retry")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("look");
     const auto first = f.lastSend().serverId;
     f.core.onEvent(response_received{.exchangeId = f.lastSend().exchangeId,
@@ -231,7 +53,7 @@
 TEST_CASE(
     "a repeatable request that gets a server error is retried once, then the error is forwarded")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("look");
     for (int i = 0; i < 2; ++i) {
         f.core.onEvent(
@@ -243,7 +65,7 @@
 
 TEST_CASE("a slow repeatable request is retried on another server")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("look");
     f.advance(601);
     CHECK(f.sends() == 2);
@@ -252,7 +74,7 @@
 
 TEST_CASE("a request without a response fails at its route's timeout")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("book");
     f.advance(4'001);
     CHECK(f.sink.callers<send_failure>().front().reason == failure::deadline_exceeded);
@@ -262,7 +84,7 @@
 TEST_CASE(
     "a repeatable request is cancelled when its caller disconnects, an at-most-once request is not")
 {
-    fixture f;
+    forwarding_fixture f;
     f.core.onCallerDisconnected(f.openRequest("look"));
     CHECK(f.sink.servers<cancel_exchange>().size() == 1);
     f.core.onCallerDisconnected(f.openRequest("book"));
@@ -272,7 +94,7 @@
 
 TEST_CASE("a broken stream of a resumable route resumes after its last event")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("label");
     f.beginStream();
     f.streamEvents(1, 2);
@@ -286,7 +108,7 @@
 
 TEST_CASE("a broken stream of a route that is not resumable is aborted, not ended as complete")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 2);
@@ -298,7 +120,7 @@
 
 TEST_CASE("a run on a leaving server resumes on another one within the same response")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 100);
@@ -330,7 +152,7 @@
 
 TEST_CASE("a run whose source fails during a move resumes from the copy")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 10);
@@ -348,7 +170,7 @@
 
 TEST_CASE("a stopped run that finds no room on the target resumes on its source")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     const auto source = f.lastSend();
@@ -367,7 +189,7 @@
 
 TEST_CASE("a run continues if its target refuses the final copy before the run is stopped")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 10);
@@ -386,7 +208,7 @@
 
 TEST_CASE("a run that finishes while it is copied releases the copy and is not sent again")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.reportLeaving();
@@ -402,7 +224,7 @@
 
 TEST_CASE("a run is moved when its server's reporter says so, or when the reporter falls silent")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.reportLeaving("another");
@@ -412,7 +234,7 @@
     REQUIRE_FALSE(f.sink.notified.empty());
     CHECK(f.sink.notified.back().note == move_note::begun);
 
-    fixture g;
+    forwarding_fixture g;
     g.openRequest("draft");
     g.beginStream();
     g.reportLeaving("another");
@@ -423,7 +245,7 @@
 
 TEST_CASE("a run that finishes before its server shuts down is not moved")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 200);
@@ -435,7 +257,7 @@
 TEST_CASE("a run is copied once the target's reporter grants the link, and both reporters hear of "
           "its end")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     const auto source = f.lastSend().serverId;
@@ -461,7 +283,7 @@
 
 TEST_CASE("a move is put off if all targets are busy, but not if a reporter does not reply")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     const auto source = f.lastSend().serverId;
@@ -477,7 +299,7 @@
 
 TEST_CASE("a run that its target refuses returns to its source, but only once")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("draft");
     f.beginStream();
     f.streamEvents(1, 10);
@@ -499,7 +321,7 @@
 
 TEST_CASE("a generation is sent where a reporter grants room, after trying others")
 {
-    fixture f;
+    forwarding_fixture f;
     for (const auto *id : {"i-c", "i-d"}) {
         f.core.onReport(id, {.capacityTokens = 34'000, .listeners = 1});
     }
@@ -524,7 +346,7 @@
 
 TEST_CASE("a generation without room is refused early, as not run and with a retry delay")
 {
-    fixture f;
+    forwarding_fixture f;
     for (const auto *id : {"i-c", "i-d"}) {
         f.core.onReport(id, {.usedTokens = 33'000, .capacityTokens = 34'000, .listeners = 1});
     }
@@ -538,7 +360,7 @@
 
 TEST_CASE("reporters that do not reply do not block a request")
 {
-    fixture f;
+    forwarding_fixture f;
     for (const auto *id : {"i-c", "i-d"}) {
         f.core.onReport(id, {.capacityTokens = 34'000, .listeners = 1});
     }
@@ -550,7 +372,7 @@
 
 TEST_CASE("an unknown route is refused, and any request while there is no route table")
 {
-    fixture f;
+    forwarding_fixture f;
     f.openRequest("nowhere");
     CHECK(f.sink.callers<send_failure>().back().reason == failure::unknown_service);
     recording_sink sink;
@@ -565,7 +387,7 @@
 
 TEST_CASE("a draining process accepts only requests that can finish in time")
 {
-    fixture f;
+    forwarding_fixture f;
     f.core.drain(f.time.now + 2 * US_PER_SECOND);
     f.openRequest("book");
     CHECK(f.sends() == 1);
