Quarantine: repeats of one request do not narrow what is quarantined

Cause: two sends of one request and one of another request in its session were three crashes with the same parts. The quarantine held for the session only, and explained these crashes, so the part itself needed two more. Change: a cause explains crashes only if as many requests as crashes are needed point to it. A narrower quarantine starts as before. Result: "repeats of a request do not narrow a quarantine to what its session shares" failed before and passes.

--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -82,6 +82,7 @@
     {
         std::vector<std::uint64_t> traits;
         std::set<std::uint64_t> crashes;
+        std::set<std::string> requests;
         time_us latestAt;
     };
 
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -190,6 +190,7 @@
                           [&run](std::uint64_t other) { return !contains(run.traits, other); });
         }
         out.crashes.insert(run.crash);
+        out.requests.insert(run.requestId);
         out.latestAt = std::max(out.latestAt, run.at);
         earliestAt = std::min(earliestAt.value_or(run.at), run.at);
     }
@@ -236,7 +237,10 @@
         if (unexplained < m_options.crashesToQuarantine && !wider) {
             continue;
         }
-        explained.insert(cause.crashes.begin(), cause.crashes.end());
+        // A few requests that were repeated share more than their cause.
+        if (cause.requests.size() >= m_options.crashesToQuarantine) {
+            explained.insert(cause.crashes.begin(), cause.crashes.end());
+        }
         constexpr std::size_t MAX_DOUBLINGS = 16;
         const auto doublings
             = std::min(MAX_DOUBLINGS, cause.crashes.size() - m_options.crashesToQuarantine);
--- a/src/quarantine/tests/crashevidencetests.cpp
+++ b/src/quarantine/tests/crashevidencetests.cpp
@@ -15,14 +15,17 @@
     std::uint64_t lastRequest = 0;
     std::uint64_t lastServer = 0;
 
-    /// A server crashes and loses a run with each of the given sets of traits.
-    auto crash(std::vector<std::vector<std::uint64_t>> runs) -> void
+    /// A server crashes and loses a run with each of the given sets of traits, of the given request
+    /// or of new ones.
+    auto crash(std::vector<std::vector<std::uint64_t>> runs, const std::string &requestId = {})
+        -> void
     {
         const auto server = "s" + std::to_string(++lastServer);
         for (auto &traits : runs) {
             evidence.add({.fate = run_fate::lost_in_crash,
                           .serverId = server,
-                          .requestId = "r" + std::to_string(++lastRequest),
+                          .requestId = requestId.empty() ? "r" + std::to_string(++lastRequest)
+                                                         : requestId,
                           .traits = std::move(traits)},
                          now);
         }
@@ -189,3 +192,16 @@
     CHECK(f.quarantined({CULPRIT}));
     CHECK(f.evidence.suspectsAmong({7}).empty());
 }
+
+// Two sends of one request and one of another in its session were taken for a cause of their own.
+TEST_CASE("repeats of a request do not narrow a quarantine to what its session shares")
+{
+    fixture f;
+    constexpr std::uint64_t SESSION = 9;
+    f.crash({{1, CULPRIT, SESSION}}, "repeated");
+    f.crash({{1, CULPRIT, SESSION}}, "repeated");
+    f.crash({{1, CULPRIT, SESSION}});
+    CHECK(f.quarantined({1, CULPRIT, SESSION}));
+    f.crash({{1, CULPRIT, 101}});
+    CHECK(f.quarantined({1, CULPRIT, 102}));
+}
