Quarantine: requests that may have crashed servers are not repeated

What callers saw: on a route with two attempts, each request with the crashing part took two engines and the streams on them, until the quarantine began. Cause: whether a lost run may be repeated was decided without the evidence on crashes, so the second attempt carried the cause to a sound engine. Change: a run lost near its start is not repeated if two crashes already have one of its traits in common and no run has survived with it since. request_retried says "suspected".

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -475,7 +475,7 @@
         }
         m_quarantine.onRunLost(*request);
         request->attempts += request->phase == request_phase::sent ? 1 : 0;
-        if (mayRetry(*request) && retry(*request, "broken")) {
+        if (mayRetry(*request) && retryLost(*request)) {
             return;
         }
         failRequest(*request, failure::backend_server_lost, run_state::unknown);
@@ -534,6 +534,16 @@
         return allowed && request.attempts < request.route->attempts
                && request.sends < m_options.maxSends && request.callerId != 0;
     }
+    /// Retries a request whose run was lost, unless it may be what crashes servers.
+    auto retryLost(request_state &request) -> bool
+    {
+        if (m_quarantine.isSuspected(request)) {
+            log(log_event::request_retried, request,
+                {{"cause", std::string("broken")}, {"outcome", std::string("suspected")}});
+            return false;
+        }
+        return retry(request, "broken");
+    }
     auto retry(request_state &request, std::string_view cause) -> bool
     {
         request.excludedServers.push_back(request.run.serverId);
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -15,6 +15,8 @@
 {
     /// Crashes after which requests with the traits that these have in common are quarantined.
     std::size_t crashesToQuarantine = 3;
+    /// Crashes after which requests with a trait that they share should not be repeated.
+    std::size_t crashesToSuspect = 2;
     /// A quarantine starts with the base time, counted from the latest crash, and doubles with each
     /// crash beyond those that started it.
     std::int64_t baseQuarantineUs = 120 * US_PER_SECOND;
@@ -55,6 +57,9 @@
     /// Returns those of the traits that may be to blame for a crash.
     auto suspectsAmong(const std::vector<std::uint64_t> &traits) const
         -> std::vector<std::uint64_t>;
+    /// Whether several crashes have one of the traits in common, and no run has survived with it
+    /// since.
+    auto isSuspected(const std::vector<std::uint64_t> &traits) const -> bool;
     /// Returns when the quarantine of requests with these traits ends; nullopt if there is none.
     auto quarantinedUntil(const std::vector<std::uint64_t> &traits, time_us now) const
         -> std::optional<time_us>;
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -61,6 +61,13 @@
     return out;
 }
 
+auto crash_evidence::isSuspected(const std::vector<std::uint64_t> &traits) const -> bool
+{
+    return std::any_of(traits.begin(), traits.end(), [this](std::uint64_t trait) {
+        return hypothesisFor(trait).crashes.size() >= m_options.crashesToSuspect;
+    });
+}
+
 auto crash_evidence::quarantinedUntil(const std::vector<std::uint64_t> &traits, time_us now) const
     -> std::optional<time_us>
 {
--- a/src/quarantine/tests/crashevidencetests.cpp
+++ b/src/quarantine/tests/crashevidencetests.cpp
@@ -205,3 +205,16 @@
     f.crash({{1, CULPRIT, 101}});
     CHECK(f.quarantined({1, CULPRIT, 102}));
 }
+
+TEST_CASE("a trait is suspected after two crashes, until a run survives with it")
+{
+    fixture f;
+    f.crash({{1, CULPRIT, 101}});
+    CHECK_FALSE(f.evidence.isSuspected({2, CULPRIT, 102}));
+    f.crash({{1, CULPRIT, 102}});
+    CHECK(f.evidence.isSuspected({2, CULPRIT, 103}));
+    CHECK(f.evidence.isSuspected({1, 104}));
+    f.survive({1});
+    CHECK_FALSE(f.evidence.isSuspected({1, 104}));
+    CHECK(f.evidence.isSuspected({2, CULPRIT, 103}));
+}
--- a/src/reporting/tests/crashingrequeststests.cpp
+++ b/src/reporting/tests/crashingrequeststests.cpp
@@ -73,6 +73,22 @@
     }
 }
 
+// Each crashing request of a route with two attempts crashed two engines.
+TEST_CASE("requests are not repeated once two crashes point to what they share")
+{
+    virtual_fleet fleet({.crashingPart = CRASHING_PART, .datagramLoss = 0.03});
+    mixed_traffic traffic{.fleet = fleet, .route = "label"};
+    fleet.advance(2'000);
+    traffic.play(20'000, 100, 700);
+    std::map<std::string, std::size_t> sends;
+    for (const auto &send : fleet.sends()) {
+        sends[send.requestId] += send.crashing ? 1 : 0;
+    }
+    const auto repeated = std::count_if(sends.begin(), sends.end(),
+                                        [](const auto &named) { return named.second > 1; });
+    CHECK(repeated <= 1);
+}
+
 // A restarted process is known to reporters under its address, so nothing was sent to it anew.
 TEST_CASE("a restarted entry knows the quarantines of its predecessor")
 {
