Clients refuse streams without end that hold no event

What callers saw: a stream of blank lines or comments was passed on until the request's deadline; on hosts of one's own it kept a generation and its memory for ever, since any byte ended the wait for the engine. Such bytes also counted as progress, so that a run that crashed its server afterwards was not blamed for it. Cause: the limits on events held for each event, and progress was counted in pieces received, whatever they held. Change: the limit on an event holds for all bytes between two events with an id, or between two tokens of an engine; only events with an id count as progress of a run.

--- a/src/backendservers/enginecodec.h
+++ b/src/backendservers/enginecodec.h
@@ -38,11 +38,13 @@
     auto finished() const -> std::optional<finish_reason> { return m_finished; }
 
 private:
+    /// Limit on an event, and on the bytes between two tokens.
     static constexpr std::size_t EVENT_LIMIT_BYTES = 64 * 1024;
 
     auto parseEvent(std::string_view data, std::vector<std::string> &tokens) -> bool;
 
     std::string m_buffer;
+    std::size_t m_bytesWithoutToken = 0;
     std::optional<finish_reason> m_finished;
 };
 
--- a/src/backendservers/internal/enginecodec.cpp
+++ b/src/backendservers/internal/enginecodec.cpp
@@ -128,6 +128,7 @@
 auto engine_stream_parser::feed(std::string_view bytes, std::vector<std::string> &tokens) -> bool
 {
     m_buffer.append(bytes);
+    const auto tokensBefore = tokens.size();
     std::size_t consumed = 0;
     for (auto end = m_buffer.find('\n'); end != std::string::npos;
          end = m_buffer.find('\n', consumed)) {
@@ -138,7 +139,8 @@
         }
     }
     m_buffer.erase(0, consumed);
-    return m_buffer.size() <= EVENT_LIMIT_BYTES;
+    m_bytesWithoutToken = tokens.size() > tokensBefore ? 0 : m_bytesWithoutToken + bytes.size();
+    return m_bytesWithoutToken <= EVENT_LIMIT_BYTES;
 }
 
 auto engine_stream_parser::parseEvent(std::string_view data, std::vector<std::string> &tokens)
--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -67,8 +67,8 @@
                    ? std::nullopt
                    : m_evidence.quarantinedUntil(traitsOf(request), m_clock.now());
     }
-    /// Whether runs of such requests have been lost in several crashes, so that a repeat of one that
-    /// was lost near its start may crash another server.
+    /// Whether runs of such requests have been lost in several crashes, so that a repeat of one
+    /// that was lost near its start may crash another server.
     auto isSuspected(const request_state &request) const -> bool
     {
         return request.run.events < m_options.eventsToSurvive
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -396,7 +396,9 @@
         if (!request) {
             return;
         }
-        request->run.events += advanced.events.size();
+        request->run.events += static_cast<std::uint64_t>(
+            std::count_if(advanced.events.begin(), advanced.events.end(),
+                          [](const stream_event &event) { return event.id.has_value(); }));
         m_quarantine.onRunProgress(*request, false);
         std::string bytes;
         for (auto &event : advanced.events) {
--- a/src/forwarding/tests/crashquarantinetests.cpp
+++ b/src/forwarding/tests/crashquarantinetests.cpp
@@ -109,3 +109,18 @@
     f.completeCopy(copy_outcome::copied, "h2");
     CHECK(f.sends() == 2);
 }
+
+TEST_CASE("bytes that are no event do not show that a run has survived its start")
+{
+    crashing_fixture f;
+    for (std::size_t i = 0; i < CRASHES_TO_QUARANTINE; ++i) {
+        f.openCrashing();
+        f.beginStream();
+        f.core.onEvent(
+            stream_advanced{.exchangeId = f.lastSend().exchangeId,
+                            .events = std::vector<stream_event>(20, {.bytes = ": ping\n\n"})});
+        f.crashServer();
+    }
+    f.openCrashing();
+    CHECK(f.quarantined() == 1);
+}
--- a/src/framework/http/eventsplitter.h
+++ b/src/framework/http/eventsplitter.h
@@ -20,10 +20,10 @@
 class event_splitter
 {
 public:
-    /// Longest event that is taken.
+    /// Limit on an event, and on the bytes between two events with an id.
     static constexpr std::size_t EVENT_LIMIT_BYTES = 1024 * 1024;
 
-    /// Appends the events that `bytes` complete to `out`; false when an event is too long, after
+    /// Appends the events that `bytes` complete to `out`; false when the limit is exceeded, after
     /// which the splitter must not be used.
     auto feed(std::string_view bytes, std::vector<stream_event> &out) -> bool;
     /// Whether an event has begun and not ended.
@@ -34,6 +34,7 @@
 
     std::string m_event;
     std::size_t m_lineStart = 0;
+    std::size_t m_bytesWithoutId = 0;
     std::optional<std::uint64_t> m_id;
 };
 
--- a/src/framework/http/internal/eventsplitter.cpp
+++ b/src/framework/http/internal/eventsplitter.cpp
@@ -8,13 +8,15 @@
 {
     for (const auto byte : bytes) {
         m_event.push_back(byte);
+        ++m_bytesWithoutId;
         if (byte == '\n' && endLine()) {
+            m_bytesWithoutId = m_id ? 0 : m_bytesWithoutId;
             out.push_back({.id = m_id, .bytes = std::move(m_event)});
             m_event.clear();
             m_lineStart = 0;
             m_id.reset();
         }
-        if (m_event.size() > EVENT_LIMIT_BYTES) {
+        if (m_bytesWithoutId > EVENT_LIMIT_BYTES) {
             return false;
         }
     }
--- a/src/framework/http/tests/eventsplittertests.cpp
+++ b/src/framework/http/tests/eventsplittertests.cpp
@@ -32,3 +32,23 @@
     const std::string endless(event_splitter::EVENT_LIMIT_BYTES + 1, 'x');
     CHECK_FALSE(splitter.feed(endless, events));
 }
+
+TEST_CASE("comments between events are taken, without end they are refused")
+{
+    event_splitter splitter;
+    std::vector<stream_event> events;
+    const std::string comment = ":" + std::string(1'000, 'x') + "\n\n";
+    for (std::size_t i = 0; i < 4; ++i) {
+        for (std::size_t bytes = 0; bytes < event_splitter::EVENT_LIMIT_BYTES / 2;
+             bytes += comment.size()) {
+            REQUIRE(splitter.feed(comment, events));
+        }
+        REQUIRE(splitter.feed("id: 1\ndata: x\n\n", events));
+    }
+    auto taken = true;
+    for (std::size_t bytes = 0; taken && bytes <= 2 * event_splitter::EVENT_LIMIT_BYTES;
+         bytes += comment.size()) {
+        taken = splitter.feed(comment, events);
+    }
+    CHECK_FALSE(taken);
+}
--- a/src/quarantine/tests/crashevidencetests.cpp
+++ b/src/quarantine/tests/crashevidencetests.cpp
@@ -22,12 +22,12 @@
     {
         const auto server = "s" + std::to_string(++lastServer);
         for (auto &traits : runs) {
-            evidence.add({.fate = run_fate::lost_in_crash,
-                          .serverId = server,
-                          .requestId = requestId.empty() ? "r" + std::to_string(++lastRequest)
-                                                         : requestId,
-                          .traits = std::move(traits)},
-                         now);
+            evidence.add(
+                {.fate = run_fate::lost_in_crash,
+                 .serverId = server,
+                 .requestId = requestId.empty() ? "r" + std::to_string(++lastRequest) : requestId,
+                 .traits = std::move(traits)},
+                now);
         }
         now = now + US_PER_SECOND;
     }
--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -222,6 +222,13 @@
     checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = "data: x\n"}, true);
 }
 
+// Each blank line or comment was passed on as an event, until the request's deadline.
+TEST_CASE("a stream without end that holds no event is refused, and its connection closed")
+{
+    checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = std::string(4'096, '\n')}, true);
+    checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = ": no event\n\n"}, true);
+}
+
 TEST_CASE("a head without end is refused, and its connection closed")
 {
     checkClosed({.begin = HEAD, .repeat = "More: of it\r\n"}, false);
