Upstream: the answers held together have a limit too

What callers saw: none yet; a server that answers several requests at once with bodies without end was allowed 8 MiB for each, which is more than the memory of the process allows for a dozen of them. It would have ended all requests on it. Cause: the limit on a body held for each answer. Change: once all bodies held together exceed 32 MiB, an answer that has more than its even share of that is refused. Result: "answers that exceed the limit on all of them together are refused" failed before and passes.

--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -116,11 +116,11 @@
 class exchange_fixture
 {
 public:
-    exchange_fixture(scripted_answer script, bool stream)
+    exchange_fixture(scripted_answer script, bool stream, upstream_options options = {})
         : m_server(std::move(script))
         , m_events(m_context, m_rings.fromServers, *this)
         , m_commands(m_context, m_rings.toServers, 1)
-        , m_duty({}, m_rings)
+        , m_duty(options, m_rings)
     {
         m_events.start();
         m_duty.start();
@@ -222,6 +222,19 @@
     checkClosed({.begin = STREAM_HEAD + "\r\n", .repeat = "data: x\n"}, true);
 }
 
+// Each was within its own limit, and all together were more than the process may hold.
+TEST_CASE("answers that exceed the limit on all of them together are refused")
+{
+    const upstream_options options{.totalBodyLimitBytes = 1024 * 1024};
+    exchange_fixture large(
+        {.begin = HEAD + "\r\n" + std::string(2 * 1024 * 1024, 'x'), .end = answer_end::close},
+        false, options);
+    CHECK(large.error() == make_error_code(upstream_error::answer_too_large));
+    exchange_fixture small({.begin = HEAD + "\r\nall of it", .end = answer_end::close}, false,
+                           options);
+    CHECK(small.body() == "all of it");
+}
+
 // Each blank line or comment was passed on as an event, until the request's deadline.
 TEST_CASE("a stream without end that holds no event is refused, and its connection closed")
 {
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -111,7 +111,9 @@
     std::int64_t copyTimeoutMs = 2'500;
     /// Time after a request's deadline at which its exchange is cancelled.
     std::int64_t deadlineGraceMs = 1'000;
+    /// Limits on one answer that is held until it is complete, and on all of them together.
     std::size_t bodyLimitBytes = 8 * 1024 * 1024;
+    std::size_t totalBodyLimitBytes = 32 * 1024 * 1024;
 };
 
 /// Duty that manages the connections to backend servers, sends requests over them and passes on
@@ -182,11 +184,11 @@
     {
         auto &exchange = m_exchanges.at(from.id());
         if (!exchange.streaming) {
-            if (exchange.body.size() + bytes.size() > m_options.bodyLimitBytes) {
+            exchange.body.append(bytes);
+            if (exchange.body.size() > m_options.bodyLimitBytes || exceedsShare(exchange)) {
                 exchange.error = make_error_code(upstream_error::answer_too_large);
                 return body_verdict::refuse;
             }
-            exchange.body.append(bytes);
             return body_verdict::take;
         }
         std::vector<stream_event> events;
@@ -286,6 +288,18 @@
                        .request = Codec::encode(released),
                        .timeoutAt = deadlineIn(m_options.copyTimeoutMs)});
     }
+    /// Whether the answers held together exceed their limit, and this one its even share of it.
+    auto exceedsShare(const exchange_state &exchange) const -> bool
+    {
+        if (exchange.body.size() <= m_options.totalBodyLimitBytes / m_exchanges.size()) {
+            return false;
+        }
+        std::size_t bytes = 0;
+        for (const auto &[channelId, other] : m_exchanges) {
+            bytes += other.body.size();
+        }
+        return bytes > m_options.totalBodyLimitBytes;
+    }
     auto deadlineIn(std::int64_t ms) const -> time_us { return m_clock.now() + ms * US_PER_MS; }
     /// Starts an exchange on an idle channel, or on a new one if `to` is null.
     auto startExchange(const endpoint &server, channel_ptr to, exchange_state exchange) -> void
