Clients end answers that trickle

What callers saw: on hosts of one's own, a call whose server sent a byte now and then outlasted its deadline at the agent, for as long as the bytes came; a watch of published documents was blocked in the same way, and with it all configuration. Cause: the time limit was that of a silence. Change: exchanges that are read to their end have a limit on their whole duration; streams of tokens keep the limit on silence.

--- a/src/backendservers/internal/backendduty.cpp
+++ b/src/backendservers/internal/backendduty.cpp
@@ -104,7 +104,8 @@
             buffered_request<Done>{*this, std::move(done), {}, {}, {}});
         started->self = started;
         started->fetch = std::make_shared<http_fetch<buffered_request<Done>>>(
-            worker.context(), *started, fetch_options{.readTimeout = timeout});
+            worker.context(), *started,
+            fetch_options{.readTimeout = timeout, .totalTimeout = timeout});
         started->fetch->start(options.where, std::move(request));
     }
 
--- a/src/framework/http/httpfetch.h
+++ b/src/framework/http/httpfetch.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds connectTimeout{1'000};
     /// Longest silence while the response is read.
     std::chrono::milliseconds readTimeout{30'000};
+    /// Longest time until the response is complete; unset for streams.
+    std::optional<std::chrono::milliseconds> totalTimeout;
 };
 
 /// Receives a response as it arrives; all callbacks on the fetch's io_context. Refusing a body ends
@@ -65,6 +67,9 @@
         m_request.body() = std::move(request.body);
         m_request.keep_alive(false);
         m_request.prepare_payload();
+        if (m_options.totalTimeout) {
+            m_endAt = clock::now() + *m_options.totalTimeout;
+        }
         boost::system::error_code error;
         const auto address = boost::asio::ip::make_address(where.address, error);
         m_stream.expires_after(m_options.connectTimeout);
@@ -92,6 +97,8 @@
     auto status() const -> int { return m_status; }
 
 private:
+    using clock = std::chrono::steady_clock;
+
     static constexpr unsigned HTTP_VERSION = 11;
     static constexpr std::size_t BUFFER_BYTES = 16 * 1024;
 
@@ -132,7 +139,8 @@
         }
         m_parser.get().body().data = m_bytes.data();
         m_parser.get().body().size = m_bytes.size();
-        m_stream.expires_after(m_options.readTimeout);
+        const auto silentUntil = clock::now() + m_options.readTimeout;
+        m_stream.expires_at(m_endAt ? std::min(silentUntil, *m_endAt) : silentUntil);
         boost::beast::http::async_read_some(
             m_stream, m_buffer, m_parser,
             [self = this->shared_from_this()](boost::system::error_code e, std::size_t) {
@@ -182,6 +190,7 @@
     boost::beast::tcp_stream m_stream;
     Sink *m_sink;
     fetch_options m_options;
+    std::optional<clock::time_point> m_endAt;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer{UNPARSED_LIMIT_BYTES};
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
--- a/src/framework/http/tests/httptests.cpp
+++ b/src/framework/http/tests/httptests.cpp
@@ -1,6 +1,7 @@
 #include "framework/http/httpfetch.h"
 #include "framework/http/httpserver.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 using namespace marjoram;
@@ -54,6 +55,41 @@
     return sink;
 }
 
+/// Server that answers one connection byte by byte, and closes after many of them.
+class trickling_server
+{
+public:
+    explicit trickling_server(boost::asio::io_context &context)
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+        , m_socket(context)
+        , m_timer(context)
+    {
+        m_acceptor.async_accept(m_socket, [this](boost::system::error_code) { sendNext(HEAD); });
+    }
+    auto address() const -> endpoint { return {.port = m_acceptor.local_endpoint().port()}; }
+
+private:
+    static constexpr std::string_view HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+    static constexpr std::size_t BYTE_LIMIT = 2'000;
+
+    auto sendNext(std::string_view bytes) -> void
+    {
+        boost::system::error_code error;
+        m_socket.write_some(boost::asio::buffer(bytes), error);
+        if (error || ++m_sent > BYTE_LIMIT) {
+            m_socket.close(error);
+            return;
+        }
+        m_timer.expires_after(std::chrono::milliseconds(1));
+        m_timer.async_wait([this](boost::system::error_code) { sendNext("x"); });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::size_t m_sent = 0;
+};
+
 } // namespace
 
 TEST_CASE("a body is answered whole and a stream arrives in order")
@@ -87,6 +123,20 @@
     CHECK(sink.outcome.phase == fetch_phase::connecting);
 }
 
+// Each byte ended the wait for the next, so that a response that trickles never ended.
+TEST_CASE("a response that trickles ends with the total time limit")
+{
+    boost::asio::io_context context;
+    trickling_server server(context);
+    collecting_sink sink;
+    auto fetch = std::make_shared<http_fetch<collecting_sink>>(
+        context, sink, fetch_options{.totalTimeout = std::chrono::milliseconds(50)});
+    fetch->start(server.address(), {});
+    context.run();
+    const std::error_code timeout = make_error_code(boost::beast::error::timeout);
+    CHECK(sink.outcome.error == timeout);
+}
+
 TEST_CASE("targets and endpoints are taken apart")
 {
     const http_request request{.target = "/a/b?after=3&wait=10"};
--- a/src/publications/documentwatch.h
+++ b/src/publications/documentwatch.h
@@ -85,9 +85,9 @@
         if (longPoll) {
             target += "&wait_ms=" + std::to_string(m_options.watchTimeout.count());
         }
+        const auto timeout = m_options.watchTimeout + READ_TIMEOUT_MARGIN;
         m_fetch = std::make_shared<http_fetch<document_watch>>(
-            m_context, *this,
-            fetch_options{.readTimeout = m_options.watchTimeout + READ_TIMEOUT_MARGIN});
+            m_context, *this, fetch_options{.readTimeout = timeout, .totalTimeout = timeout});
         m_fetch->start(m_options.service, {.target = std::move(target)});
     }
     auto scheduleRead(std::chrono::milliseconds pause) -> void
