Upstream: a stream that ends with its connection before any event has been broken off

What callers saw: a stream that ended at once and looked complete, where the server had crashed before its first event and its answer had neither a length nor chunks. Cause: the end of the connection ends such a stream; only an event that had begun was taken for a sign of a loss. Change: such a stream without any event fails as empty_stream, so that it is repeated where its route allows that. Result: "a stream without a length that ends before its first event is broken off" failed without the check and passes.

--- a/src/framework/http/httpchannel.h
+++ b/src/framework/http/httpchannel.h
@@ -46,6 +46,8 @@
     fetch_phase phase = fetch_phase::connecting;
     /// The connection can carry another exchange.
     bool reusable = false;
+    /// The response had neither a length nor chunks, and ended with its connection.
+    bool endedByClose = false;
 };
 
 /// Owner of channels: all callbacks come on the channel's io_context.
@@ -316,7 +318,8 @@
         if (m_owner) {
             m_owner->onDone(*this, {.error = cause,
                                     .phase = whole ? fetch_phase::finished : m_phase,
-                                    .reusable = reusable});
+                                    .reusable = reusable,
+                                    .endedByClose = whole && m_parser->need_eof()});
         }
     }
     auto closeIdle() -> void
--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -211,6 +211,16 @@
     CHECK(torn.streamEvents() == 1);
 }
 
+// A server that crashed before its first event was taken to have answered with no event.
+TEST_CASE("a stream without a length that ends before its first event is broken off")
+{
+    exchange_fixture f({.begin = STREAM_HEAD + "\r\n", .end = answer_end::close}, true);
+    CHECK(f.error() == make_error_code(upstream_error::empty_stream));
+    exchange_fixture framed(
+        {.begin = STREAM_HEAD + "Content-Length: 0\r\n\r\n", .end = answer_end::close}, true);
+    CHECK(framed.completed());
+}
+
 // The rest was read, and the caller kept waiting, until the request's deadline.
 TEST_CASE("a body without end is refused, and its connection closed")
 {
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -63,7 +63,8 @@
     unidentified_answer,
     event_too_large,
     timed_out,
-    truncated_event
+    truncated_event,
+    empty_stream
 };
 inline constexpr std::array upstreamErrorNames{
     enum_name<upstream_error>{upstream_error::answer_too_large, "answer too large"},
@@ -71,6 +72,7 @@
     enum_name<upstream_error>{upstream_error::event_too_large, "event too large"},
     enum_name<upstream_error>{upstream_error::timed_out, "no answer in time"},
     enum_name<upstream_error>{upstream_error::truncated_event, "stream ended within an event"},
+    enum_name<upstream_error>{upstream_error::empty_stream, "stream ended before its first event"},
 };
 constexpr auto namesOf(upstream_error) -> const auto &
 {
@@ -196,6 +198,7 @@
             exchange.error = make_error_code(upstream_error::event_too_large);
         }
         if (!events.empty()) {
+            exchange.hasEvents = true;
             publish(stream_advanced{.exchangeId = exchange.send.exchangeId,
                                     .events = std::move(events)});
         }
@@ -236,6 +239,7 @@
         int status = 0;
         std::optional<std::int64_t> idleTimeoutMs;
         bool streaming = false;
+        bool hasEvents = false;
         event_splitter splitter;
         std::string body;
         std::error_code error;
@@ -444,6 +448,10 @@
         if (!outcome.error && !exchange.error && exchange.splitter.midEvent()) {
             exchange.error = make_error_code(upstream_error::truncated_event);
         }
+        // The server may have crashed: only the end of the connection marks the end of the stream.
+        if (exchange.streaming && outcome.endedByClose && !exchange.hasEvents) {
+            exchange.error = make_error_code(upstream_error::empty_stream);
+        }
         const auto error = exchange.error ? exchange.error : outcome.error;
         if (error) {
             publish(exchange_failed{.exchangeId = id, .phase = outcome.phase, .error = error});
