Quarantine: only success shows that a run has survived its start

Cause: any answer cleared the parts of its request, an error that the server sent before it ran the request, and a stream without any event, too. Change: answers clear parts if they are no errors, streams if they had an event.

--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -99,11 +99,11 @@
             confirmLosses(run.serverId);
         }
     }
-    /// Call when a run has passed on events, or when its server has answered.
-    auto onRunProgress(request_state &request, bool answered) -> void
+    /// Call when a run has passed on events, or when its server has answered it to the end.
+    auto onRunProgress(request_state &request, bool complete) -> void
     {
         auto &run = request.run;
-        const auto survived = answered || run.events >= m_options.eventsToSurvive;
+        const auto survived = complete || run.events >= m_options.eventsToSurvive;
         if (!survived || std::exchange(run.survivedStart, true)) {
             return;
         }
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -334,8 +334,12 @@
             return;
         }
         ++request->attempts;
-        m_quarantine.onRunProgress(*request, true);
+        constexpr int CLIENT_ERROR = 400;
         constexpr int SERVER_ERROR = 500;
+        // A server that answers with an error may not have begun to run the request.
+        if (answered.head.status < CLIENT_ERROR) {
+            m_quarantine.onRunProgress(*request, true);
+        }
         const auto failed = answered.head.status >= SERVER_ERROR;
         recordOutcome(*request, !failed);
         if (failed && mayRetry(*request) && retry(*request, "server_error")) {
@@ -434,7 +438,7 @@
         }
         m_mover.abandon(*request);
         endExchange(*request);
-        m_quarantine.onRunProgress(*request, true);
+        m_quarantine.onRunProgress(*request, request->run.events > 0);
         recordOutcome(*request, true);
         log(log_event::request_answered, *request,
             {{"server", request->run.serverId},
--- a/src/forwarding/tests/crashquarantinetests.cpp
+++ b/src/forwarding/tests/crashquarantinetests.cpp
@@ -124,3 +124,25 @@
     f.openCrashing();
     CHECK(f.quarantined() == 1);
 }
+
+// Each such answer cleared the part, so that as many crashes as before were needed again.
+TEST_CASE("an error or an empty stream does not show that a run has survived its start")
+{
+    crashing_fixture f;
+    const auto crash = [&f] {
+        f.openCrashing();
+        f.beginStream();
+        f.crashServer();
+    };
+    crash();
+    f.openCrashing();
+    f.core.onEvent(
+        response_received{.exchangeId = f.lastSend().exchangeId, .head = {.status = 500}});
+    crash();
+    f.openCrashing();
+    f.beginStream();
+    f.core.onEvent(stream_completed{f.lastSend().exchangeId});
+    crash();
+    f.openCrashing();
+    CHECK(f.quarantined() == 1);
+}
