Quarantine: servers that crash at the same time are one crash

What callers saw: after nine of twelve engines had crashed at the same moment, sound requests were refused as quarantined, for up to half an hour if none of those still running shared their parts. Found by a test of our own. Cause: each server counted as a crash of its own, so the part that most requests share had been lost in as many crashes as there were servers. Change: crashes within 250 ms are one crash, whichever servers they hit; a rack that loses power is a likelier cause of them than what requests share.

--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -23,6 +23,9 @@
     std::int64_t maxQuarantineUs = 1'800 * US_PER_SECOND;
     /// Runs lost on the same server within this time were lost in the same crash.
     std::int64_t sameCrashUs = 2 * US_PER_SECOND;
+    /// Servers that crash within this time count as one crash: what they share, such as a rack, is
+    /// a likelier cause than what their requests share.
+    std::int64_t sameOutageUs = 250 * US_PER_MS;
     /// Limits on the lost runs, and on the traits known to have survived, that are remembered.
     std::int64_t retentionUs = 3'600 * US_PER_SECOND;
     std::size_t lostRunLimit = 256;
@@ -97,6 +100,7 @@
     auto dropExpired(time_us now) -> void;
     auto isCleared(std::uint64_t trait, time_us at) const -> bool;
     auto crashOf(const std::string &serverId, time_us at) -> std::uint64_t;
+    auto startOf(std::uint64_t crash) const -> time_us;
     auto hypotheses() const -> std::vector<hypothesis>;
     auto hypothesisFor(std::uint64_t trait) const -> hypothesis;
     auto updateSignatures() -> void;
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -176,11 +176,23 @@
 {
     const auto same
         = std::find_if(m_lostRuns.rbegin(), m_lostRuns.rend(), [&](const lost_run &run) {
-              return run.serverId == serverId && std::abs(run.at - at) <= m_options.sameCrashUs;
+              return (run.serverId == serverId && std::abs(run.at - at) <= m_options.sameCrashUs)
+                     || std::abs(startOf(run.crash) - at) <= m_options.sameOutageUs;
           });
     return same != m_lostRuns.rend() ? same->crash : ++m_lastCrash;
 }
 
+auto crash_evidence::startOf(std::uint64_t crash) const -> time_us
+{
+    std::optional<time_us> out;
+    for (const auto &run : m_lostRuns) {
+        if (run.crash == crash) {
+            out = std::min(out.value_or(run.at), run.at);
+        }
+    }
+    return out.value_or(time_us{});
+}
+
 /// What the runs with a trait have in common, since a run with the trait last survived.
 auto crash_evidence::hypothesisFor(std::uint64_t trait) const -> hypothesis
 {
--- a/src/reporting/tests/crashingrequeststests.cpp
+++ b/src/reporting/tests/crashingrequeststests.cpp
@@ -155,3 +155,21 @@
     traffic.play(5'000, 100, 0);
     CHECK(fleet.quarantined().empty());
 }
+
+// A rack that loses power is many crashes, and all runs near their start are lost in them.
+TEST_CASE("engines that crash at the same time quarantine none")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        virtual_fleet fleet(
+            {.crashingPart = CRASHING_PART, .datagramLoss = 0.03, .seed = seed});
+        mixed_traffic traffic{.fleet = fleet};
+        fleet.advance(2'000);
+        traffic.play(3'000, 20, 0);
+        for (std::size_t i = 0; i < 9; ++i) {
+            fleet.crashEngine(i);
+        }
+        traffic.play(5'000, 20, 0);
+        CHECK(fleet.quarantined().empty());
+    }
+}
