Quarantine: causes are sought only among traits that several lost runs share

Cause: each observation examined every trait of every lost run, most of which belong to a single request; after an outage an entry with a tenth of a core spent seconds on it.

--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -221,12 +221,18 @@
 
 auto crash_evidence::hypotheses() const -> std::vector<hypothesis>
 {
-    std::set<std::uint64_t> traits;
+    std::map<std::uint64_t, std::size_t> runsWith;
     for (const auto &run : m_lostRuns) {
-        traits.insert(run.traits.begin(), run.traits.end());
+        for (const auto trait : run.traits) {
+            ++runsWith[trait];
+        }
     }
     std::vector<hypothesis> out;
-    for (const auto trait : traits) {
+    for (const auto &[trait, runs] : runsWith) {
+        // Most traits are those of a single request.
+        if (runs < m_options.crashesToQuarantine) {
+            continue;
+        }
         auto one = hypothesisFor(trait);
         const auto known = std::any_of(out.begin(), out.end(), [&one](const hypothesis &other) {
             return other.traits == one.traits && other.crashes == one.crashes;
