Quarantine: a trait explains an outage only if half of its servers lost it

Cause: an outage counted against every trait that any of its servers had lost, so a part of a few requests was blamed after three outages. Evidence: quarantine_changed names one part, run_lost_in_crash one run with it in each of four outages of seven servers. Change: a trait is blamed for an outage if at least half of the servers that lost runs in it had lost one with the trait. Result: "a trait that few of the servers in an outage lost is not blamed for it" failed before and passes; quarantine and reporting tests pass (49 cases).

--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -24,7 +24,8 @@
     /// Runs lost on the same server within this time were lost in the same crash.
     std::int64_t sameCrashUs = 2 * US_PER_SECOND;
     /// Servers that crash within this time count as one crash: what they share, such as a rack, is
-    /// a likelier cause than what their requests share.
+    /// a likelier cause than what their requests share. A trait explains it if half of the servers
+    /// lost a run with it.
     std::int64_t sameOutageUs = 250 * US_PER_MS;
     /// Limits on the lost runs, and on the traits known to have survived, that are remembered.
     std::int64_t retentionUs = 3'600 * US_PER_SECOND;
@@ -46,8 +47,8 @@
 /// Learns from lost runs which requests crash the servers that run them. A server that crashes also
 /// loses runs that are not to blame, and a request that is to blame shares most of its traits with
 /// others. So requests are quarantined only by all traits that the runs lost in several crashes
-/// have in common, without those that other runs have survived with. All entries that know the same
-/// observations come to the same result. Not thread safe: belongs to one duty.
+/// have in common, without those that other runs have survived with. Entries share observations,
+/// not conclusions, so that each judges by all of them. Not thread safe: belongs to one duty.
 class crash_evidence
 {
 public:
@@ -85,6 +86,12 @@
         /// Runs with the same number were lost in the same crash.
         std::uint64_t crash = 0;
     };
+    /// One crash, of all servers that crashed at the same time.
+    struct crash_state
+    {
+        time_us startedAt;
+        std::set<std::string> servers;
+    };
     /// Explanation of several crashes by one cause.
     struct hypothesis
     {
@@ -100,13 +107,16 @@
     auto dropExpired(time_us now) -> void;
     auto isCleared(std::uint64_t trait, time_us at) const -> bool;
     auto crashOf(const std::string &serverId, time_us at) -> std::uint64_t;
-    auto startOf(std::uint64_t crash) const -> time_us;
+    auto dropUnusedCrashes() -> void;
     auto hypotheses() const -> std::vector<hypothesis>;
+    auto explainedCrashes(std::uint64_t trait) const -> std::set<std::uint64_t>;
     auto hypothesisFor(std::uint64_t trait) const -> hypothesis;
     auto updateSignatures() -> void;
 
     crash_evidence_options m_options;
     std::deque<lost_run> m_lostRuns;
+    /// By lost_run::crash.
+    std::map<std::uint64_t, crash_state> m_crashes;
     /// When a run with the trait last survived.
     std::map<std::uint64_t, time_us> m_survivedAt;
     std::vector<crash_signature> m_signatures;
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -116,11 +116,15 @@
     if (m_lostRuns.size() >= m_options.lostRunLimit) {
         dropOldest();
     }
+    const auto crash = crashOf(seen.serverId, at);
+    auto &state = m_crashes.try_emplace(crash, crash_state{.startedAt = at}).first->second;
+    state.startedAt = std::min(state.startedAt, at);
+    state.servers.insert(seen.serverId);
     m_lostRuns.push_back({.serverId = seen.serverId,
                           .requestId = seen.requestId,
                           .traits = sorted(seen.traits),
                           .at = at,
-                          .crash = crashOf(seen.serverId, at)});
+                          .crash = crash});
     return true;
 }
 
@@ -151,16 +155,29 @@
                                   });
           });
     m_lostRuns.erase(unused != m_lostRuns.end() ? unused : m_lostRuns.begin());
+    dropUnusedCrashes();
+}
+
+auto crash_evidence::dropUnusedCrashes() -> void
+{
+    std::set<std::uint64_t> used;
+    for (const auto &run : m_lostRuns) {
+        used.insert(run.crash);
+    }
+    std::erase_if(m_crashes, [&used](const auto &named) { return !used.contains(named.first); });
 }
 
 auto crash_evidence::dropExpired(time_us now) -> void
 {
-    std::erase_if(m_lostRuns, [&](const lost_run &run) {
+    const auto dropped = std::erase_if(m_lostRuns, [&](const lost_run &run) {
         const auto cleared
             = std::all_of(run.traits.begin(), run.traits.end(),
                           [&](std::uint64_t trait) { return isCleared(trait, run.at); });
         return cleared || now - run.at > m_options.retentionUs;
     });
+    if (dropped > 0) {
+        dropUnusedCrashes();
+    }
     std::erase_if(m_survivedAt, [&](const auto &survivor) {
         return now - survivor.second > m_options.retentionUs;
     });
@@ -177,38 +194,46 @@
     const auto same
         = std::find_if(m_lostRuns.rbegin(), m_lostRuns.rend(), [&](const lost_run &run) {
               return (run.serverId == serverId && std::abs(run.at - at) <= m_options.sameCrashUs)
-                     || std::abs(startOf(run.crash) - at) <= m_options.sameOutageUs;
+                     || std::abs(m_crashes.at(run.crash).startedAt - at) <= m_options.sameOutageUs;
           });
     return same != m_lostRuns.rend() ? same->crash : ++m_lastCrash;
 }
 
-auto crash_evidence::startOf(std::uint64_t crash) const -> time_us
+/// Returns the crashes in which at least half of the servers lost a run with the trait that has not
+/// been survived since.
+auto crash_evidence::explainedCrashes(std::uint64_t trait) const -> std::set<std::uint64_t>
 {
-    std::optional<time_us> out;
+    std::map<std::uint64_t, std::set<std::string_view>> serversWith;
     for (const auto &run : m_lostRuns) {
-        if (run.crash == crash) {
-            out = std::min(out.value_or(run.at), run.at);
+        if (contains(run.traits, trait) && !isCleared(trait, run.at)) {
+            serversWith[run.crash].insert(run.serverId);
         }
     }
-    return out.value_or(time_us{});
+    std::set<std::uint64_t> out;
+    for (const auto &[crash, servers] : serversWith) {
+        if (2 * servers.size() >= m_crashes.at(crash).servers.size()) {
+            out.insert(crash);
+        }
+    }
+    return out;
 }
 
 /// What the runs with a trait have in common, since a run with the trait last survived.
 auto crash_evidence::hypothesisFor(std::uint64_t trait) const -> hypothesis
 {
-    hypothesis out;
+    hypothesis out{.crashes = explainedCrashes(trait)};
     std::optional<time_us> earliestAt;
     for (const auto &run : m_lostRuns) {
-        if (!contains(run.traits, trait) || isCleared(trait, run.at)) {
+        if (!contains(run.traits, trait) || isCleared(trait, run.at)
+            || !out.crashes.contains(run.crash)) {
             continue;
         }
-        if (out.crashes.empty()) {
+        if (!earliestAt) {
             out.traits = run.traits;
         } else {
             std::erase_if(out.traits,
                           [&run](std::uint64_t other) { return !contains(run.traits, other); });
         }
-        out.crashes.insert(run.crash);
         out.requests.insert(run.requestId);
         out.latestAt = std::max(out.latestAt, run.at);
         earliestAt = std::min(earliestAt.value_or(run.at), run.at);
--- a/src/quarantine/tests/crashevidencetests.cpp
+++ b/src/quarantine/tests/crashevidencetests.cpp
@@ -31,6 +31,15 @@
         }
         now = now + US_PER_SECOND;
     }
+    /// Several servers crash at the same time; each loses a run with the given traits.
+    auto outage(const std::vector<std::vector<std::uint64_t>> &servers) -> void
+    {
+        for (const auto &traits : servers) {
+            crash({traits});
+            now = now + -US_PER_SECOND;
+        }
+        now = now + US_PER_SECOND;
+    }
     auto survive(std::vector<std::uint64_t> traits) -> void
     {
         evidence.add({.fate = run_fate::survived,
@@ -218,3 +227,26 @@
     CHECK_FALSE(f.evidence.isSuspected({1, 104}));
     CHECK(f.evidence.isSuspected({2, CULPRIT, 103}));
 }
+
+// A part that one request in each outage had was taken for its cause.
+TEST_CASE("a trait that few of the servers in an outage lost is not blamed for it")
+{
+    fixture f;
+    std::uint64_t own = 100;
+    for (std::size_t i = 0; i < 5; ++i) {
+        f.outage({{1, ++own}, {2, ++own}, {3, ++own}});
+    }
+    CHECK_FALSE(f.quarantined({1, ++own}));
+}
+
+TEST_CASE("a culprit that crashes several servers at the same time is quarantined")
+{
+    fixture f;
+    std::uint64_t own = 100;
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK_FALSE(f.quarantined({CULPRIT, ++own}));
+        f.outage({{CULPRIT, ++own}, {CULPRIT, ++own}, {3, ++own}});
+    }
+    CHECK(f.quarantined({CULPRIT, ++own}));
+    CHECK_FALSE(f.quarantined({3, ++own}));
+}
--- a/src/reporting/tests/crashingrequeststests.cpp
+++ b/src/reporting/tests/crashingrequeststests.cpp
@@ -161,8 +161,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         CAPTURE(seed);
-        virtual_fleet fleet(
-            {.crashingPart = CRASHING_PART, .datagramLoss = 0.03, .seed = seed});
+        virtual_fleet fleet({.crashingPart = CRASHING_PART, .datagramLoss = 0.03, .seed = seed});
         mixed_traffic traffic{.fleet = fleet};
         fleet.advance(2'000);
         traffic.play(3'000, 20, 0);
