Forwarding: what is learnt of servers has a class of its own

forwarding_core had grown to 820 lines. server_observer applies reports, answers and outcomes to the directory and logs what changes. No behaviour changes; the tests of forwarding and reporting pass (64 cases).

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -5,6 +5,7 @@
 #include "forwarding/forwardingoptions.h"
 #include "forwarding/requestadmission.h"
 #include "forwarding/requestplacer.h"
+#include "forwarding/serverobserver.h"
 
 #include <algorithm>
 #include <map>
@@ -32,6 +33,7 @@
         , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
         , m_quarantine(m_options.quarantine, clock, seed + 3, directory, *this)
+        , m_servers(clock, directory, sink)
     {
         m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
         static_assert(forwarding_sink<Sink>);
@@ -45,7 +47,7 @@
     {
         const auto changes = m_directory.onServerList(entries, m_clock.now());
         for (const auto &id : changes.joined) {
-            logJoined(m_directory.find(id)->entry, "published");
+            m_servers.logJoined(m_directory.find(id)->entry, "published");
             m_quarantine.onServerStarted(id);
         }
         for (const auto &id : changes.leaving) {
@@ -55,14 +57,14 @@
             onLeaving(id, "unlisted");
         }
         for (const auto &id : changes.gone) {
-            m_sink.log(log_event::server_gone, {}, {{"server", id}});
+            m_servers.logGone(id);
         }
         endQuarantinedRequests();
     }
     auto onAnnounced(const server_entry &entry) -> void
     {
         if (m_directory.onAnnounced(entry, m_clock.now())) {
-            logJoined(entry, "announced");
+            m_servers.logJoined(entry, "announced");
         }
     }
     auto onReport(const std::string &id, server_report report) -> void
@@ -73,9 +75,7 @@
         if (!report.answering) {
             m_quarantine.onServerDown(id);
         }
-        const auto rateLimitBefore = rateLimitOf(id);
-        const auto becameLeaving = m_directory.onReport(id, std::move(report), m_clock.now());
-        logRateLimitChange(id, rateLimitBefore, "report");
+        const auto becameLeaving = m_servers.onReport(id, std::move(report));
         const auto *view = m_directory.find(id);
         if (becameLeaving) {
             onLeaving(id, "reported");
@@ -326,8 +326,7 @@
         if (!request) {
             return;
         }
-        recordLoad(*request, answered.head);
-        recordRateLimit(*request, answered.head);
+        m_servers.onAnswer(request->run.serverId, answered.head);
         endExchange(*request);
         if (answered.head.notRun || answered.head.wrongServer) {
             onRefusedByServer(*request, answered.head);
@@ -341,7 +340,7 @@
             m_quarantine.onRunProgress(*request, true);
         }
         const auto failed = answered.head.status >= SERVER_ERROR;
-        recordOutcome(*request, !failed);
+        m_servers.onOutcome(*request, !failed);
         if (failed && mayRetry(*request) && retry(*request, "server_error")) {
             return;
         }
@@ -380,8 +379,7 @@
         if (!request) {
             return;
         }
-        recordLoad(*request, begun.head);
-        recordRateLimit(*request, begun.head);
+        m_servers.onAnswer(request->run.serverId, begun.head);
         request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
         request->run.begun = true;
@@ -439,7 +437,7 @@
         m_mover.abandon(*request);
         endExchange(*request);
         m_quarantine.onRunProgress(*request, request->run.events > 0);
-        recordOutcome(*request, true);
+        m_servers.onOutcome(*request, true);
         log(log_event::request_answered, *request,
             {{"server", request->run.serverId},
              {"events", static_cast<std::int64_t>(request->eventsDelivered)},
@@ -462,7 +460,7 @@
         if (m_mover.onSourceEnded(*request)) {
             return;
         }
-        recordOutcome(*request, false);
+        m_servers.onOutcome(*request, false);
         log(log_event::request_retried, *request,
             {{"server", request->run.serverId},
              {"phase", std::string(nameOf(failed.phase))},
@@ -585,7 +583,7 @@
             --request.attempts;
             return;
         }
-        recordOutcome(request, false);
+        m_servers.onOutcome(request, false);
         cancelExchange(request);
         request.excludedServers.push_back(request.run.serverId);
         log(log_event::request_retried, request,
@@ -595,22 +593,9 @@
 
     // --- servers
 
-    auto logJoined(const server_entry &entry, std::string_view source) -> void
-    {
-        m_sink.log(log_event::server_joined, {},
-                   {{"server", entry.id},
-                    {"source", std::string(source)},
-                    {"pool", entry.pool},
-                    {"address", toText(entry.address)}});
-    }
     auto onLeaving(const std::string &id, std::string_view source) -> void
     {
-        const auto *view = m_directory.find(id);
-        const auto leavesMs = view && view->shutdownAt
-                                  ? (*view->shutdownAt - m_clock.now()) / US_PER_MS
-                                  : std::int64_t{-1};
-        m_sink.log(log_event::server_leaving, {},
-                   {{"server", id}, {"source", std::string(source)}, {"gone_in_ms", leavesMs}});
+        m_servers.logLeaving(id, source);
         moveRunsOf(id);
     }
     auto moveRunsOf(const std::string &id) -> void
@@ -625,48 +610,6 @@
             m_mover.moveIfDue(*request);
         }
     }
-    auto recordLoad(request_state &request, const response_head &head) -> void
-    {
-        if (head.load) {
-            m_directory.onLoad(request.run.serverId, *head.load, m_clock.now());
-        }
-    }
-    auto recordRateLimit(const request_state &request, const response_head &head) -> void
-    {
-        const auto &id = request.run.serverId;
-        const auto before = rateLimitOf(id);
-        if (head.wrongServer || !m_directory.onRateLimit(id, head.milliRateLimit, m_clock.now())) {
-            return;
-        }
-        logRateLimitChange(id, before, "answer");
-        m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
-    }
-    auto rateLimitOf(const std::string &id) const -> std::uint64_t
-    {
-        const auto *view = m_directory.find(id);
-        return view && view->rateLimit ? view->rateLimit->milliPerSecond : 0;
-    }
-    auto logRateLimitChange(const std::string &id, std::uint64_t before, std::string_view source)
-        -> void
-    {
-        const auto now = rateLimitOf(id);
-        if (now != before) {
-            m_sink.log(log_event::rate_limit_changed, {},
-                       {{"server", id},
-                        {"source", std::string(source)},
-                        {"per_1000_s", static_cast<std::int64_t>(now)}});
-        }
-    }
-    auto recordOutcome(request_state &request, bool succeeded) -> void
-    {
-        const auto &id = request.run.serverId;
-        if (succeeded) {
-            m_directory.recordSuccess(id);
-        } else if (m_directory.recordFailure(id, m_clock.now())) {
-            m_sink.log(log_event::server_ejected, request.request->requestId, {{"server", id}});
-        }
-    }
-
     // --- ending
 
     auto findByExchange(std::uint64_t exchangeId) -> request_state *
@@ -806,6 +749,7 @@
     request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
     crash_quarantine<Clock, forwarding_core> m_quarantine;
+    server_observer<Clock, Sink> m_servers;
     bool m_quarantineChanged = false;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
--- /dev/null
+++ b/src/forwarding/serverobserver.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "forwarding/forwardingoptions.h"
+#include "forwarding/requeststate.h"
+#include "framework/eventlog/eventlog.h"
+#include "serverviews/serverdirectory.h"
+
+namespace marjoram {
+
+/// Applies what reports, answers and failures tell of backend servers to the directory, and logs
+/// what changes. Not thread safe: belongs to one duty.
+template <clock_source Clock, typename Sink>
+class server_observer
+{
+public:
+    /// Precondition: `directory` and `sink` outlive the observer.
+    server_observer(Clock clock, server_directory &directory, Sink &sink)
+        : m_clock(clock)
+        , m_directory(directory)
+        , m_sink(sink)
+    {
+        static_assert(forwarding_sink<Sink>);
+    }
+
+    /// Applies a report. Returns true if the server is now leaving and was not before.
+    auto onReport(const std::string &id, server_report report) -> bool
+    {
+        const auto limitBefore = rateLimitOf(id);
+        const auto becameLeaving = m_directory.onReport(id, std::move(report), m_clock.now());
+        logRateLimitChange(id, limitBefore, "report");
+        return becameLeaving;
+    }
+    /// Takes the load and the rate limit that an answer states.
+    auto onAnswer(const std::string &id, const response_head &head) -> void
+    {
+        const auto now = m_clock.now();
+        if (head.load) {
+            m_directory.onLoad(id, *head.load, now);
+        }
+        const auto limitBefore = rateLimitOf(id);
+        if (head.wrongServer || !m_directory.onRateLimit(id, head.milliRateLimit, now)) {
+            return;
+        }
+        logRateLimitChange(id, limitBefore, "answer");
+        m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
+    }
+    /// Counts the outcome of a request's present run towards the health of its server.
+    auto onOutcome(const request_state &request, bool succeeded) -> void
+    {
+        const auto &id = request.run.serverId;
+        if (succeeded) {
+            m_directory.recordSuccess(id);
+        } else if (m_directory.recordFailure(id, m_clock.now())) {
+            m_sink.log(log_event::server_ejected, request.request->requestId, {{"server", id}});
+        }
+    }
+
+    /// `source` tells how the change became known.
+    auto logJoined(const server_entry &entry, std::string_view source) -> void
+    {
+        m_sink.log(log_event::server_joined, {},
+                   {{"server", entry.id},
+                    {"source", std::string(source)},
+                    {"pool", entry.pool},
+                    {"address", toText(entry.address)}});
+    }
+    auto logLeaving(const std::string &id, std::string_view source) -> void
+    {
+        const auto *view = m_directory.find(id);
+        const auto leavesMs = view && view->shutdownAt
+                                  ? (*view->shutdownAt - m_clock.now()) / US_PER_MS
+                                  : std::int64_t{-1};
+        m_sink.log(log_event::server_leaving, {},
+                   {{"server", id}, {"source", std::string(source)}, {"gone_in_ms", leavesMs}});
+    }
+    auto logGone(const std::string &id) -> void
+    {
+        m_sink.log(log_event::server_gone, {}, {{"server", id}});
+    }
+
+private:
+    auto rateLimitOf(const std::string &id) const -> std::uint64_t
+    {
+        const auto *view = m_directory.find(id);
+        return view && view->rateLimit ? view->rateLimit->milliPerSecond : 0;
+    }
+    auto logRateLimitChange(const std::string &id, std::uint64_t before, std::string_view source)
+        -> void
+    {
+        const auto now = rateLimitOf(id);
+        if (now != before) {
+            m_sink.log(log_event::rate_limit_changed, {},
+                       {{"server", id},
+                        {"source", std::string(source)},
+                        {"per_1000_s", static_cast<std::int64_t>(now)}});
+        }
+    }
+
+    Clock m_clock;
+    server_directory &m_directory;
+    Sink &m_sink;
+};
+
+} // namespace marjoram
