Quarantine: a request that is lost twice shows two crashes, however close

What callers saw: on hosts of one's own, a generation that crashes engines at once was started 67 times instead of 3. Cause: a generation that goes from one crashed engine to the next within 250 ms was taken for part of one outage. Change: servers belong to the same outage unless a request was lost on several of them. Observations carry the number of the run, so that the runs of a request are told apart without names of their own. Signatures are computed when they are needed, not with each observation of a batch, and a full store drops an eighth at once.

--- a/src/dispatching/generationdispatcher.h
+++ b/src/dispatching/generationdispatcher.h
@@ -436,10 +436,11 @@
     auto share(const stream_state &stream, run_fate fate, const std::string &host,
                std::vector<std::uint64_t> traits) -> void
     {
-        const auto requestId
-            = toText(stream.generation) + "/" + std::to_string(stream.sequencer.attempt());
-        const run_observation seen{
-            .fate = fate, .serverId = host, .requestId = requestId, .traits = std::move(traits)};
+        const run_observation seen{.fate = fate,
+                                   .serverId = host,
+                                   .requestId = toText(stream.generation),
+                                   .attempt = stream.sequencer.attempt(),
+                                   .traits = std::move(traits)};
         m_evidence.add(seen, m_clock.now());
         std::vector<std::string> connected;
         for (const auto &[name, view] : m_directory.views()) {
--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -93,6 +93,7 @@
         m_unconfirmed.push_back({.seen = {.fate = run_fate::lost_in_crash,
                                           .serverId = run.serverId,
                                           .requestId = request.request->requestId,
+                                          .attempt = request.sends,
                                           .traits = traitsOf(*request.request)},
                                  .at = now});
         if (m_downSince.contains(run.serverId)) {
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -73,13 +73,14 @@
     /// Number of quarantines in force.
     auto activeCount(time_us now) const -> std::size_t;
     /// Signatures of all quarantines, also of those that have ended since the last observation.
-    auto signatures() const -> const std::vector<crash_signature> & { return m_signatures; }
+    auto signatures() const -> const std::vector<crash_signature> &;
 
 private:
     struct lost_run
     {
         std::string serverId;
         std::string requestId;
+        std::uint32_t attempt = 0;
         /// Sorted.
         std::vector<std::uint64_t> traits;
         time_us at;
@@ -106,12 +107,13 @@
     auto dropOldest() -> void;
     auto dropExpired(time_us now) -> void;
     auto isCleared(std::uint64_t trait, time_us at) const -> bool;
-    auto crashOf(const std::string &serverId, time_us at) -> std::uint64_t;
+    auto crashOf(const run_observation &seen, time_us at) -> std::uint64_t;
+    auto isLostIn(std::uint64_t crash, const std::string &requestId) const -> bool;
     auto dropUnusedCrashes() -> void;
     auto hypotheses() const -> std::vector<hypothesis>;
     auto explainedCrashes(std::uint64_t trait) const -> std::set<std::uint64_t>;
     auto hypothesisFor(std::uint64_t trait) const -> hypothesis;
-    auto updateSignatures() -> void;
+    auto computeSignatures() const -> std::vector<crash_signature>;
 
     crash_evidence_options m_options;
     std::deque<lost_run> m_lostRuns;
@@ -119,7 +121,9 @@
     std::map<std::uint64_t, crash_state> m_crashes;
     /// When a run with the trait last survived.
     std::map<std::uint64_t, time_us> m_survivedAt;
-    std::vector<crash_signature> m_signatures;
+    /// Computed when they are needed: observations come in batches.
+    mutable std::vector<crash_signature> m_signatures;
+    mutable bool m_signaturesValid = true;
     std::uint64_t m_lastCrash = 0;
 };
 
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace marjoram {
 
@@ -12,6 +13,8 @@
 constexpr std::size_t MIN_CRASHES_OF_WIDER_CAUSE = 5;
 constexpr std::size_t MIN_UNEXPLAINED_OF_WIDER_CAUSE = 2;
 constexpr std::size_t SUPPORTING_OBSERVATION_LIMIT = 32;
+/// A full store drops this part of its lost runs at once, since that needs the signatures.
+constexpr std::size_t DROPPED_SHARE = 8;
 
 auto sorted(std::vector<std::uint64_t> traits) -> std::vector<std::uint64_t>
 {
@@ -39,12 +42,18 @@
     const auto at = now + -seen.ageMs * US_PER_MS;
     const auto isNew
         = seen.fate == run_fate::survived ? addSurvivor(seen, at) : addLostRun(seen, at);
-    if (isNew) {
-        updateSignatures();
-    }
+    m_signaturesValid = m_signaturesValid && !isNew;
     return isNew;
 }
 
+auto crash_evidence::signatures() const -> const std::vector<crash_signature> &
+{
+    if (!std::exchange(m_signaturesValid, true)) {
+        m_signatures = computeSignatures();
+    }
+    return m_signatures;
+}
+
 auto crash_evidence::suspectsAmong(const std::vector<std::uint64_t> &traits) const
     -> std::vector<std::uint64_t>
 {
@@ -72,8 +81,8 @@
     -> std::optional<time_us>
 {
     std::optional<time_us> out;
-    const auto own = sorted(m_signatures.empty() ? std::vector<std::uint64_t>{} : traits);
-    for (const auto &signature : m_signatures) {
+    const auto own = sorted(signatures().empty() ? std::vector<std::uint64_t>{} : traits);
+    for (const auto &signature : signatures()) {
         if (signature.until > now && containsAll(own, signature.traits)) {
             out = std::max(out.value_or(signature.until), signature.until);
         }
@@ -89,6 +98,7 @@
             out.push_back({.fate = run_fate::lost_in_crash,
                            .serverId = run.serverId,
                            .requestId = run.requestId,
+                           .attempt = run.attempt,
                            .traits = run.traits,
                            .ageMs = (now - run.at) / US_PER_MS});
         }
@@ -101,14 +111,15 @@
 auto crash_evidence::activeCount(time_us now) const -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::count_if(m_signatures.begin(), m_signatures.end(),
+        std::count_if(signatures().begin(), signatures().end(),
                       [now](const crash_signature &one) { return one.until > now; }));
 }
 
 auto crash_evidence::addLostRun(const run_observation &seen, time_us at) -> bool
 {
     const auto known = std::any_of(m_lostRuns.begin(), m_lostRuns.end(), [&](const lost_run &run) {
-        return run.requestId == seen.requestId && run.serverId == seen.serverId;
+        return run.requestId == seen.requestId && run.attempt == seen.attempt
+               && run.serverId == seen.serverId;
     });
     if (known || seen.traits.empty()) {
         return false;
@@ -116,12 +127,13 @@
     if (m_lostRuns.size() >= m_options.lostRunLimit) {
         dropOldest();
     }
-    const auto crash = crashOf(seen.serverId, at);
+    const auto crash = crashOf(seen, at);
     auto &state = m_crashes.try_emplace(crash, crash_state{.startedAt = at}).first->second;
     state.startedAt = std::min(state.startedAt, at);
     state.servers.insert(seen.serverId);
     m_lostRuns.push_back({.serverId = seen.serverId,
                           .requestId = seen.requestId,
+                          .attempt = seen.attempt,
                           .traits = sorted(seen.traits),
                           .at = at,
                           .crash = crash});
@@ -144,17 +156,21 @@
     return isNew;
 }
 
-/// Drops the oldest lost run that no signature rests on, or the oldest one.
+/// Drops the oldest lost runs that no signature rests on, or the oldest one of all.
 auto crash_evidence::dropOldest() -> void
 {
-    const auto unused
-        = std::find_if(m_lostRuns.begin(), m_lostRuns.end(), [this](const lost_run &run) {
-              return std::none_of(m_signatures.begin(), m_signatures.end(),
-                                  [&run](const crash_signature &signature) {
-                                      return containsAll(run.traits, signature.traits);
-                                  });
-          });
-    m_lostRuns.erase(unused != m_lostRuns.end() ? unused : m_lostRuns.begin());
+    const auto &known = signatures();
+    auto remaining = std::max<std::size_t>(1, m_options.lostRunLimit / DROPPED_SHARE);
+    const auto dropped = std::erase_if(m_lostRuns, [&](const lost_run &run) {
+        const auto used
+            = std::any_of(known.begin(), known.end(), [&run](const crash_signature &signature) {
+                  return containsAll(run.traits, signature.traits);
+              });
+        return !used && remaining > 0 && remaining-- > 0;
+    });
+    if (dropped == 0) {
+        m_lostRuns.pop_front();
+    }
     dropUnusedCrashes();
 }
 
@@ -189,14 +205,29 @@
     return found != m_survivedAt.end() && found->second >= at;
 }
 
-auto crash_evidence::crashOf(const std::string &serverId, time_us at) -> std::uint64_t
+auto crash_evidence::crashOf(const run_observation &seen, time_us at) -> std::uint64_t
 {
-    const auto same
-        = std::find_if(m_lostRuns.rbegin(), m_lostRuns.rend(), [&](const lost_run &run) {
-              return (run.serverId == serverId && std::abs(run.at - at) <= m_options.sameCrashUs)
-                     || std::abs(m_crashes.at(run.crash).startedAt - at) <= m_options.sameOutageUs;
+    const auto sameServer = std::find_if(
+        m_lostRuns.rbegin(), m_lostRuns.rend(), [&](const lost_run &run) {
+            return run.serverId == seen.serverId && std::abs(run.at - at) <= m_options.sameCrashUs;
+        });
+    if (sameServer != m_lostRuns.rend()) {
+        return sameServer->crash;
+    }
+    // A request that was lost twice went from one server to the other: they crashed in turn.
+    const auto sameOutage
+        = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const auto &named) {
+              return std::abs(named.second.startedAt - at) <= m_options.sameOutageUs
+                     && !isLostIn(named.first, seen.requestId);
           });
-    return same != m_lostRuns.rend() ? same->crash : ++m_lastCrash;
+    return sameOutage != m_crashes.end() ? sameOutage->first : ++m_lastCrash;
+}
+
+auto crash_evidence::isLostIn(std::uint64_t crash, const std::string &requestId) const -> bool
+{
+    return std::any_of(m_lostRuns.begin(), m_lostRuns.end(), [&](const lost_run &run) {
+        return run.crash == crash && run.requestId == requestId;
+    });
 }
 
 /// Returns the crashes in which at least half of the servers lost a run with the trait that has not
@@ -274,9 +305,9 @@
     return out;
 }
 
-auto crash_evidence::updateSignatures() -> void
+auto crash_evidence::computeSignatures() const -> std::vector<crash_signature>
 {
-    m_signatures.clear();
+    std::vector<crash_signature> out;
     std::set<std::uint64_t> explained;
     for (const auto &cause : hypotheses()) {
         const auto unexplained = static_cast<std::size_t>(
@@ -296,10 +327,11 @@
             = std::min(MAX_DOUBLINGS, cause.crashes.size() - m_options.crashesToQuarantine);
         const auto us
             = std::min(m_options.baseQuarantineUs << doublings, m_options.maxQuarantineUs);
-        m_signatures.push_back({.traits = cause.traits,
-                                .crashes = cause.crashes.size(),
-                                .until = cause.latestAt + us});
+        out.push_back({.traits = cause.traits,
+                       .crashes = cause.crashes.size(),
+                       .until = cause.latestAt + us});
     }
+    return out;
 }
 
 } // namespace marjoram
--- a/src/quarantine/internal/observationlog.cpp
+++ b/src/quarantine/internal/observationlog.cpp
@@ -11,7 +11,8 @@
     });
     const auto known = std::any_of(m_records.begin(), m_records.end(), [&](const auto &record) {
         return record.seen.fate == seen.fate && record.seen.requestId == seen.requestId
-               && record.seen.serverId == seen.serverId && record.seen.traits == seen.traits;
+               && record.seen.attempt == seen.attempt && record.seen.serverId == seen.serverId
+               && record.seen.traits == seen.traits;
     });
     if (known || seen.ageMs * US_PER_MS > m_options.retentionUs) {
         return false;
--- a/src/quarantine/runobservation.h
+++ b/src/quarantine/runobservation.h
@@ -26,6 +26,8 @@
     run_fate fate = run_fate::lost_in_crash;
     std::string serverId;
     std::string requestId;
+    /// Number of the run among those of the request.
+    std::uint32_t attempt = 0;
     /// Hashes or ids of what the request shares with others, such as the parts of its prompt. Of a
     /// run that survived, only those under suspicion.
     std::vector<std::uint64_t> traits;
@@ -38,6 +40,7 @@
         visit(self.fate);
         visit(self.serverId);
         visit(self.requestId);
+        visit(self.attempt);
         visit(self.traits);
         visit(self.ageMs);
     }
