--- a/src/forwarding/crashquarantine.h
+++ b/src/forwarding/crashquarantine.h
@@ -186,6 +186,12 @@
             confirmed.push_back(std::move(loss.seen));
             return true;
         });
+        for (const auto &seen : confirmed) {
+            m_host.logEvent(log_event::run_lost_in_crash, seen.requestId,
+                            {{"server", seen.serverId},
+                             {"traits", hexText(seen.traits)},
+                             {"age_ms", seen.ageMs}});
+        }
         if (!confirmed.empty()) {
             add(confirmed);
             m_host.toReporter(share_observations{std::move(confirmed)});
@@ -220,12 +226,7 @@
     {
         const auto before = m_evidence.signatures();
         for (const auto &seen : observations) {
-            if (m_evidence.add(seen, m_clock.now()) && seen.fate == run_fate::lost_in_crash) {
-                m_host.logEvent(log_event::run_lost_in_crash, seen.requestId,
-                                {{"server", seen.serverId},
-                                 {"traits", hexText(seen.traits)},
-                                 {"age_ms", seen.ageMs}});
-            }
+            m_evidence.add(seen, m_clock.now());
         }
         if (m_evidence.signatures() != before) {
             logChanges(before);
