Forwarding: logs tell how a request that is cut by a stop was accepted

Cause: requests that were still open when a stopping entry ended vanished without a line, and no line showed how long a request accepted after SIGTERM was expected to take. So the logs could not tell a wrong estimate from a stop order that was handled late or a run that was moved. Change: request_sent has stop_in_ms and expected_ms while the process stops; what is open at the end is ended by forwarding_core::abandonRequests, which logs request_failed with the reason draining, answers requests that have no answer yet and cuts streams.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -95,6 +95,18 @@
     /// From now on refuses requests that may not finish before `stopAt`. Idempotent.
     auto drain(time_us stopAt) -> void { m_admission.setStopTime(stopAt); }
     auto drained() const -> bool { return m_requests.empty(); }
+    /// Ends all open requests, because the process stops: streams are cut, other requests get their
+    /// final answer.
+    auto abandonRequests() -> void
+    {
+        while (!m_requests.empty()) {
+            auto &request = *m_requests.begin()->second;
+            const auto unsent
+                = request.phase == request_phase::waiting || request.phase == request_phase::asking;
+            failRequest(request, failure::draining,
+                        unsent && request.attempts == 0 ? run_state::not_run : run_state::unknown);
+        }
+    }
     auto openRequests() const -> std::size_t { return m_requests.size(); }
 
     // --- callers
@@ -212,19 +224,8 @@
         m_requestByExchange.emplace(request.run.exchangeId, request.number);
         m_directory.recordSent(serverId, request.run.tokens);
         m_directory.recordRequest(serverId, now);
-        const auto *view = m_directory.find(serverId);
         const auto resumes = copy || request.lastEvent > 0;
-        log(log_event::request_sent, request,
-            {{"server", serverId},
-             {"route", request.route->name},
-             {"in_flight", static_cast<std::int64_t>(view ? view->inFlight : 0)},
-             {"taken_tokens", static_cast<std::int64_t>(view ? committedTokens(*view) : 0)},
-             {"running",
-              static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
-             {"prompts_ahead", static_cast<std::int64_t>(view ? promptsAhead(*view) : 0)},
-             {"report_age_ms", reportAgeMs(view)},
-             {"sends", static_cast<std::int64_t>(request.sends)},
-             {"resumed", std::int64_t{resumes}}});
+        logSent(request, serverId, resumes);
         m_sink.toServer(send_request{
             .exchangeId = request.run.exchangeId,
             .serverId = serverId,
@@ -313,6 +314,27 @@
         }
         return request;
     }
+    auto logSent(const request_state &request, const std::string &serverId, bool resumes) -> void
+    {
+        const auto *view = m_directory.find(serverId);
+        std::vector<log_field> fields{
+            {"server", serverId},
+            {"route", request.route->name},
+            {"in_flight", static_cast<std::int64_t>(view ? view->inFlight : 0)},
+            {"taken_tokens", static_cast<std::int64_t>(view ? committedTokens(*view) : 0)},
+            {"running",
+             static_cast<std::int64_t>(view && view->report ? view->report->running : 0)},
+            {"prompts_ahead", static_cast<std::int64_t>(view ? promptsAhead(*view) : 0)},
+            {"report_age_ms", reportAgeMs(view)},
+            {"sends", static_cast<std::int64_t>(request.sends)},
+            {"resumed", std::int64_t{resumes}}};
+        if (const auto &stopAt = m_admission.stopTime()) {
+            const auto duration = m_admission.durationUs(*request.route, *request.request);
+            fields.push_back({"stop_in_ms", msUntil(*stopAt)});
+            fields.push_back({"expected_ms", duration / US_PER_MS});
+        }
+        log(log_event::request_sent, request, std::move(fields));
+    }
     auto reportAgeMs(const server_view *view) const -> std::int64_t
     {
         return view && view->report ? (m_clock.now() - view->reportAt) / US_PER_MS : -1;
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -82,6 +82,8 @@
     auto drain(std::int64_t stopInMs) -> void;
     /// Stops accepting requests. Thread safe.
     auto stopAccepting() -> void;
+    /// Ends all open requests, because the process stops. Thread safe.
+    auto abandonRequests() -> void;
     /// Thread safe.
     auto metrics() const -> const metric_set<forwarding_metric> & { return m_metrics; }
     /// Thread safe.
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -196,6 +196,14 @@
     boost::asio::post(m_impl->worker.context(), [this] { m_impl->toCaller(stop_accepting{}); });
 }
 
+auto forwarding_duty::abandonRequests() -> void
+{
+    boost::asio::post(m_impl->worker.context(), [this] {
+        m_impl->core.abandonRequests();
+        m_impl->updateAfterEvent();
+    });
+}
+
 auto forwarding_duty::handle(forward_event &&event) -> void
 {
     if (const auto *opened = std::get_if<forward_requested>(&event)) {
--- a/src/forwarding/requestadmission.h
+++ b/src/forwarding/requestadmission.h
@@ -23,6 +23,16 @@
     auto table() const -> const route_table_ptr & { return m_table; }
     /// From now on refuses requests that may not finish before `stopAt`.
     auto setStopTime(time_us stopAt) -> void { m_stopAt = stopAt; }
+    auto stopTime() const -> const std::optional<time_us> & { return m_stopAt; }
+    /// Estimated duration of a request.
+    auto durationUs(const route_entry &route, const forward_request &incoming) const -> std::int64_t
+    {
+        const auto &params = incoming.generation;
+        const auto output = route.kind == work_kind::generation
+                                ? params.outputEstimate.value_or(params.maxOutputTokens)
+                                : 0;
+        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
+    }
 
     /// Returns why a request is refused, or failure::none if it is accepted.
     auto refusalReason(const forward_request &incoming, std::size_t openRequests, time_us now) const
@@ -70,15 +80,6 @@
     }
 
 private:
-    /// Estimated duration of a request.
-    auto durationUs(const route_entry &route, const forward_request &incoming) const -> std::int64_t
-    {
-        const auto &params = incoming.generation;
-        const auto output = route.kind == work_kind::generation
-                                ? params.outputEstimate.value_or(params.maxOutputTokens)
-                                : 0;
-        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
-    }
     auto pickPool(const route_entry &route) -> std::string
     {
         std::uint64_t all = 0;
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -385,6 +385,26 @@
     CHECK(sink.callers<send_failure>().back().reason == failure::no_manifest);
 }
 
+TEST_CASE("requests that are still open when the process stops get a final answer and a log line")
+{
+    forwarding_fixture f;
+    f.openRequest("book");
+    f.openRequest("draft");
+    f.beginStream();
+    f.streamEvents(1, 2);
+    f.core.drain(f.time.now + 7 * US_PER_SECOND);
+    f.core.abandonRequests();
+    CHECK(f.core.drained());
+    REQUIRE(f.sink.callers<send_failure>().size() == 1);
+    CHECK(f.sink.callers<send_failure>().front().ran == run_state::unknown);
+    CHECK(f.sink.callers<abort_response_stream>().size() == 1);
+    for (const auto *id : {"r1", "r2"}) {
+        CHECK(std::count(f.sink.logged.begin(), f.sink.logged.end(),
+                         std::pair(log_event::request_failed, std::string(id)))
+              == 1);
+    }
+}
+
 TEST_CASE("a draining process accepts only requests that can finish in time")
 {
     forwarding_fixture f;
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -15,6 +15,7 @@
     std::vector<server_command> toServers;
     std::vector<request_room> roomRequests;
     std::vector<notify_move> notified;
+    std::vector<std::pair<log_event, std::string>> logged;
 
     auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
     auto toServer(server_command command) -> void { toServers.push_back(std::move(command)); }
@@ -26,7 +27,10 @@
             notified.push_back(std::move(*notification));
         }
     }
-    auto log(log_event, const std::string &, std::vector<log_field>) -> void { }
+    auto log(log_event event, const std::string &id, std::vector<log_field>) -> void
+    {
+        logged.emplace_back(event, id);
+    }
     auto observe(latency_kind, std::int64_t) -> void { }
 
     template <typename T>
