Forwarding: failing test, a generation accepted after the stop order is cut

Cause: callers saw their streams cut in the middle by an entry that had accepted them seconds after its SIGTERM (LOST). It takes the caller's estimate of the output length, which is right in the median only, times a fixed pace of 4 ms a token, as the time that the request needs.

--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -134,6 +134,20 @@
         core.onRequest({request});
         return lastCaller;
     }
+    /// Opens a generation whose caller estimates its output at 50 tokens.
+    auto openEstimated(const std::string &prefix, std::uint32_t maxOutputTokens) -> std::uint64_t
+    {
+        auto request = std::make_shared<forward_request>();
+        request->callerId = ++lastCaller;
+        request->requestId = "r" + std::to_string(lastCaller);
+        request->method = "POST";
+        request->target = "/" + prefix + "/x";
+        request->host = "h";
+        request->generation
+            = {.promptTokens = 3'000, .maxOutputTokens = maxOutputTokens, .outputEstimate = 50};
+        core.onRequest({request});
+        return lastCaller;
+    }
     auto lastSend() -> send_request { return sink.servers<send_request>().back(); }
     auto sends() -> std::size_t { return sink.servers<send_request>().size(); }
     auto failExchange(fetch_phase phase) -> void
