Forwarding: a stopping entry accepts only requests that end in time at their limits

Cause: callers saw streams cut that an entry had accepted up to 3.2 s after its SIGTERM (LOST). The entry took the caller's estimate of the output length, right in the median only, times a fixed pace; a generation that stated no limit counted as one without output; a request that waited, or was to be sent again, was not looked at any more. Change: completion_forecast predicts the latest end of a request from its limit on output tokens and the slowest pace, first event and answer that the entry has seen of the pool in the last 10 to 20 s; without a limit it is the deadline. The prediction is asked when a request arrives, when the stop begins and before each send. A caller that is refused because of a stop may return after 20 to 200 ms, since other entries can serve it. Why this works: a request is accepted only if the process outlasts the worst that its limits and its pool allow; what cannot be bounded is refused as not run, which the caller may repeat elsewhere at once.

--- /dev/null
+++ b/src/forwarding/completionforecast.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "forwarding/requeststate.h"
+#include "limits/recentmaximum.h"
+
+#include <map>
+#include <string>
+
+namespace marjoram {
+
+/// Options of a completion_forecast.
+struct completion_forecast_options
+{
+    /// Factor on the slowest answer or first event seen, since the next one may be slower.
+    double answerMargin = 1.5;
+    /// Time per output token while no generation of the pool has been seen lately.
+    std::int64_t initialUsPerToken = 20 * US_PER_MS;
+    /// Tokens after its first event from which a generation shows the pace of its pool.
+    std::uint64_t minPaceTokens = 32;
+    /// What was seen is forgotten between one and two periods later.
+    std::int64_t periodUs = 10 * US_PER_SECOND;
+};
+
+/// Predicts the latest end of a request, from its limits and from the slowest requests that this
+/// entry has seen of the pool lately. The caller's estimate of the output length is not used, since
+/// it is accurate in the median only. Not thread safe.
+class completion_forecast
+{
+public:
+    explicit completion_forecast(completion_forecast_options options)
+        : m_options(options)
+    { }
+
+    /// Forgets pools that are not in the table.
+    auto onRouteTable(const route_table &table) -> void
+    {
+        std::erase_if(m_pools,
+                      [&](const auto &named) { return table.findPool(named.first) == nullptr; });
+    }
+    /// Takes the time from the arrival of a request to its answer, its first event, or its end
+    /// without either. Precondition: the request has a pool.
+    auto onAnswer(const request_state &request, time_us now) -> void
+    {
+        seenOf(*request.pool).answerUs.observe(now - request.openedAt, now);
+    }
+    /// Takes the progress of a stream that has got more events. Precondition: the request has a
+    /// pool.
+    auto onEvents(const request_state &request, time_us now) -> void
+    {
+        const auto tokens
+            = (request.lastEvent - request.firstBatchEvent) * request.tokensPerEvent();
+        if (tokens >= m_options.minPaceTokens) {
+            const auto us = now - (request.openedAt + request.firstEventUs);
+            seenOf(*request.pool).usPerToken.observe(us / static_cast<std::int64_t>(tokens), now);
+        }
+    }
+    /// Returns when the request, if it is sent now, ends at the latest.
+    auto latestEnd(const request_state &request, time_us now) -> time_us
+    {
+        const auto maxTokens = request.request->generation.maxOutputTokens;
+        if (!request.pool || (request.isGeneration() && maxTokens == 0)) {
+            return request.deadline;
+        }
+        auto &seen = seenOf(*request.pool);
+        const auto slowest = static_cast<double>(seen.answerUs.value(now).value_or(0));
+        auto us = std::max(request.route->latencyTargetMs * US_PER_MS,
+                           static_cast<std::int64_t>(slowest * m_options.answerMargin));
+        if (request.isGeneration()) {
+            const auto usPerToken
+                = seen.usPerToken.value(now).value_or(m_options.initialUsPerToken);
+            us += (maxTokens - std::min(maxTokens, request.producedTokens())) * usPerToken;
+        }
+        return std::min(request.deadline, now + us);
+    }
+
+private:
+    struct pool_observations
+    {
+        recent_maximum answerUs;
+        recent_maximum usPerToken;
+    };
+    auto seenOf(const pool_entry &pool) -> pool_observations &
+    {
+        const recent_maximum none(m_options.periodUs);
+        return m_pools.try_emplace(pool.name, pool_observations{none, none}).first->second;
+    }
+
+    completion_forecast_options m_options;
+    std::map<std::string, pool_observations> m_pools;
+};
+
+} // namespace marjoram
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -29,6 +29,7 @@
         , m_directory(directory)
         , m_sink(sink)
         , m_entryCount(m_options.initialEntryCount)
+        , m_forecast(m_options.completion)
         , m_admission(m_options, seed + 2)
         , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
@@ -42,7 +43,11 @@
 
     // --- configuration and servers
 
-    auto onRouteTable(route_table_ptr table) -> void { m_admission.setTable(std::move(table)); }
+    auto onRouteTable(route_table_ptr table) -> void
+    {
+        m_forecast.onRouteTable(*table);
+        m_admission.setTable(std::move(table));
+    }
     auto onServerList(const std::vector<server_entry> &entries) -> void
     {
         const auto changes = m_directory.onServerList(entries, m_clock.now());
@@ -92,8 +97,21 @@
     }
     /// Number of quarantines in force.
     auto quarantines() const -> std::size_t { return m_quarantine.activeCount(); }
-    /// From now on refuses requests that may not finish before `stopAt`. Idempotent.
-    auto drain(time_us stopAt) -> void { m_admission.setStopTime(stopAt); }
+    /// From now on refuses requests that may not finish before `stopAt`, also those that no server
+    /// has got yet. Idempotent.
+    auto drain(time_us stopAt) -> void
+    {
+        m_stopAt = stopAt;
+        std::vector<request_state *> late;
+        for (const auto &[number, request] : m_requests) {
+            if (isUnsent(*request) && mayOutlastProcess(*request)) {
+                late.push_back(request.get());
+            }
+        }
+        for (auto *request : late) {
+            failStopping(*request);
+        }
+    }
     auto drained() const -> bool { return m_requests.empty(); }
     /// Ends all open requests, because the process stops: streams are cut, other requests get their
     /// final answer.
@@ -101,10 +119,11 @@
     {
         while (!m_requests.empty()) {
             auto &request = *m_requests.begin()->second;
-            const auto unsent
-                = request.phase == request_phase::waiting || request.phase == request_phase::asking;
-            failRequest(request, failure::draining,
-                        unsent && request.attempts == 0 ? run_state::not_run : run_state::unknown);
+            if (isUnsent(request)) {
+                failStopping(request);
+            } else {
+                failRequest(request, failure::draining, run_state::unknown);
+            }
         }
     }
     auto openRequests() const -> std::size_t { return m_requests.size(); }
@@ -114,16 +133,21 @@
     auto onRequest(const forward_requested &opened) -> void
     {
         const auto &incoming = *opened.request;
-        const auto reason = m_admission.refusalReason(incoming, m_requests.size(), m_clock.now());
+        const auto reason = m_admission.refusalReason(incoming, m_requests.size());
         if (reason != failure::none) {
-            refuse(incoming.callerId, incoming.requestId, reason, drawRetryAfterMs());
+            refuse(incoming.callerId, incoming.requestId, reason, drawRetryAfterMs(reason));
             return;
         }
         if (const auto until = m_quarantine.quarantinedUntil(incoming)) {
             refuse(incoming.callerId, incoming.requestId, failure::quarantined, msUntil(*until));
             return;
         }
-        m_placer.placeOrWait(admit(opened.request));
+        auto &request = admit(opened.request);
+        if (mayOutlastProcess(request)) {
+            failStopping(request);
+            return;
+        }
+        m_placer.placeOrWait(request);
     }
     auto onCallerDisconnected(std::uint64_t callerId) -> void
     {
@@ -136,8 +160,7 @@
         request.callerId = 0;
         log(log_event::caller_left, request, {{"phase", std::string(nameOf(request.phase))}});
         // An at-most-once request keeps running: cancelling it would leave its outcome unknown.
-        if (request.route->kind != work_kind::at_most_once
-            || request.phase == request_phase::waiting || request.phase == request_phase::asking) {
+        if (request.route->kind != work_kind::at_most_once || isUnsent(request)) {
             cancelExchange(request);
             close(request);
         }
@@ -212,6 +235,10 @@
             failQuarantined(request, *until);
             return;
         }
+        if (!copy && mayOutlastProcess(request)) {
+            failStopping(request);
+            return;
+        }
         request.phase = request.streamStarted ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
                        .serverId = serverId,
@@ -328,10 +355,10 @@
             {"report_age_ms", reportAgeMs(view)},
             {"sends", static_cast<std::int64_t>(request.sends)},
             {"resumed", std::int64_t{resumes}}};
-        if (const auto &stopAt = m_admission.stopTime()) {
-            const auto duration = m_admission.durationUs(*request.route, *request.request);
-            fields.push_back({"stop_in_ms", msUntil(*stopAt)});
-            fields.push_back({"expected_ms", duration / US_PER_MS});
+        if (m_stopAt) {
+            fields.push_back({"stop_in_ms", msUntil(*m_stopAt)});
+            fields.push_back(
+                {"expected_ms", msUntil(m_forecast.latestEnd(request, m_clock.now()))});
         }
         log(log_event::request_sent, request, std::move(fields));
     }
@@ -389,6 +416,7 @@
              {"status", static_cast<std::int64_t>(status)},
              {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
         m_sink.observe(latency_kind::plain_answer, m_clock.now() - request.openedAt);
+        m_forecast.onAnswer(request, m_clock.now());
         toCaller(request, send_response{.callerId = request.callerId,
                                         .status = status,
                                         .headers = std::move(answered.head.headers),
@@ -444,9 +472,12 @@
         const auto now = m_clock.now();
         if (request.firstEventUs == 0) {
             request.firstEventUs = now - request.openedAt;
+            request.firstBatchEvent = request.lastEvent;
+            m_forecast.onAnswer(request, now);
             m_sink.observe(latency_kind::first_event, request.firstEventUs);
         } else {
             request.longestPauseUs = std::max(request.longestPauseUs, now - request.lastEventAt);
+            m_forecast.onEvents(request, now);
         }
         request.lastEventAt = now;
     }
@@ -586,8 +617,10 @@
 
     auto onDeadline(request_state &request) -> void
     {
-        const auto sent
-            = request.phase == request_phase::sent || request.phase == request_phase::streaming;
+        const auto sent = !isUnsent(request);
+        if (request.phase == request_phase::sent) {
+            m_forecast.onAnswer(request, m_clock.now());
+        }
         cancelExchange(request);
         failRequest(request, sent ? failure::deadline_exceeded : failure::would_miss_deadline,
                     sent || request.attempts > 0 ? run_state::unknown : run_state::not_run);
@@ -664,11 +697,27 @@
         }
         std::optional<std::int64_t> retryAfterMs;
         if (ran == run_state::not_run) {
-            retryAfterMs = drawRetryAfterMs() + (retryAt ? msUntil(*retryAt) : 0);
+            retryAfterMs = drawRetryAfterMs(reason) + (retryAt ? msUntil(*retryAt) : 0);
         }
         failWithReason(request, reason, ran, retryAfterMs);
         close(request);
     }
+    /// No server has the request at present.
+    static auto isUnsent(const request_state &request) -> bool
+    {
+        return request.phase == request_phase::waiting || request.phase == request_phase::asking;
+    }
+    /// Whether the process stops and may end before the request, if it is sent now.
+    auto mayOutlastProcess(const request_state &request) -> bool
+    {
+        return m_stopAt && m_forecast.latestEnd(request, m_clock.now()) > *m_stopAt;
+    }
+    /// Ends a request that no server has at present and that the stopping process cannot complete.
+    auto failStopping(request_state &request) -> void
+    {
+        failRequest(request, failure::draining,
+                    request.attempts == 0 ? run_state::not_run : run_state::unknown);
+    }
     auto failQuarantined(request_state &request, time_us until) -> void
     {
         const auto notRun = request.attempts == 0 && request.phase != request_phase::sent;
@@ -684,11 +733,9 @@
         }
         std::vector<std::pair<request_state *, time_us>> affected;
         for (const auto &[number, request] : m_requests) {
-            const auto unsent = request->phase == request_phase::waiting
-                                || request->phase == request_phase::asking;
             const auto unanswered
                 = request->phase == request_phase::sent && request->isGeneration();
-            const auto until = unsent || unanswered
+            const auto until = isUnsent(*request) || unanswered
                                    ? m_quarantine.quarantinedUntil(*request->request)
                                    : std::nullopt;
             if (until) {
@@ -755,10 +802,12 @@
     {
         return m_retries.try_emplace(pool.name, m_options.retries).first->second;
     }
-    auto drawRetryAfterMs() -> std::int64_t
+    auto drawRetryAfterMs(failure reason) -> std::int64_t
     {
-        const auto width = m_options.maxRetryAfterMs - m_options.minRetryAfterMs + 1;
-        return m_options.minRetryAfterMs + static_cast<std::int64_t>(m_random() % width);
+        const auto stopping = reason == failure::draining;
+        const auto min = stopping ? m_options.minStoppingRetryAfterMs : m_options.minRetryAfterMs;
+        const auto max = stopping ? m_options.maxStoppingRetryAfterMs : m_options.maxRetryAfterMs;
+        return min + static_cast<std::int64_t>(m_random() % (max - min + 1));
     }
 
     forwarding_options m_options;
@@ -767,6 +816,8 @@
     server_directory &m_directory;
     Sink &m_sink;
     entry_count m_entryCount;
+    completion_forecast m_forecast;
+    std::optional<time_us> m_stopAt;
     request_admission m_admission;
     request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/completionforecast.h"
 #include "forwarding/crashquarantine.h"
 #include "forwarding/forwardtypes.h"
 #include "forwarding/runmover.h"
@@ -41,12 +42,14 @@
     /// Range of the random retry delay given to refused callers.
     std::int64_t minRetryAfterMs = 400;
     std::int64_t maxRetryAfterMs = 1'200;
+    /// The same while this process stops: another entry can serve the caller at once.
+    std::int64_t minStoppingRetryAfterMs = 20;
+    std::int64_t maxStoppingRetryAfterMs = 200;
     /// Time after which a repeatable request is retried on another server, in latency targets.
     double hedgeAfterTargets = 2.0;
     /// Share of the output limit that a generation without an estimate is expected to use.
     double assumedOutputShare = 0.5;
-    /// Time per output token, to predict whether a generation can finish before the process stops.
-    std::int64_t usPerToken = 4 * US_PER_MS;
+    completion_forecast_options completion;
 };
 
 /// Latencies that are measured.
--- a/src/forwarding/requestadmission.h
+++ b/src/forwarding/requestadmission.h
@@ -21,22 +21,8 @@
 
     auto setTable(route_table_ptr table) -> void { m_table = std::move(table); }
     auto table() const -> const route_table_ptr & { return m_table; }
-    /// From now on refuses requests that may not finish before `stopAt`.
-    auto setStopTime(time_us stopAt) -> void { m_stopAt = stopAt; }
-    auto stopTime() const -> const std::optional<time_us> & { return m_stopAt; }
-    /// Estimated duration of a request.
-    auto durationUs(const route_entry &route, const forward_request &incoming) const -> std::int64_t
-    {
-        const auto &params = incoming.generation;
-        const auto output = route.kind == work_kind::generation
-                                ? params.outputEstimate.value_or(params.maxOutputTokens)
-                                : 0;
-        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
-    }
-
     /// Returns why a request is refused, or failure::none if it is accepted.
-    auto refusalReason(const forward_request &incoming, std::size_t openRequests, time_us now) const
-        -> failure
+    auto refusalReason(const forward_request &incoming, std::size_t openRequests) const -> failure
     {
         if (!m_table) {
             return failure::no_manifest;
@@ -49,9 +35,6 @@
         if (keysRequired && !m_table->findTeam(incoming.key)) {
             return failure::unauthenticated;
         }
-        if (m_stopAt && now + durationUs(*route, incoming) > *m_stopAt) {
-            return failure::draining;
-        }
         return openRequests >= m_options.maxOpenRequests ? failure::overloaded : failure::none;
     }
     /// Precondition: refusalReason() returned failure::none.
@@ -99,7 +82,6 @@
     const forwarding_options &m_options;
     random_source m_random;
     route_table_ptr m_table;
-    std::optional<time_us> m_stopAt;
 };
 
 } // namespace marjoram
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -132,6 +132,8 @@
     bool deferredOnce = false;
     bool streamStarted = false;
     std::uint64_t lastEvent = 0;
+    /// The last one of the events that came first.
+    std::uint64_t firstBatchEvent = 0;
     std::uint64_t eventsDelivered = 0;
     std::uint32_t moves = 0;
     time_us lastEventAt;
@@ -144,11 +146,11 @@
     {
         return pool && pool->engine ? &*pool->engine : nullptr;
     }
+    auto tokensPerEvent() const -> std::uint32_t { return engine() ? engine()->tokensPerEvent : 1; }
     /// Tokens produced so far, estimated from the number of events.
     auto producedTokens() const -> std::uint32_t
     {
-        const auto perEvent = engine() ? engine()->tokensPerEvent : 1;
-        return static_cast<std::uint32_t>(lastEvent * perEvent);
+        return static_cast<std::uint32_t>(lastEvent * tokensPerEvent());
     }
     auto promptTokens() const -> std::uint32_t { return request->generation.promptTokens; }
 };
--- a/src/forwarding/tests/plannedstoptests.cpp
+++ b/src/forwarding/tests/plannedstoptests.cpp
@@ -19,6 +19,19 @@
     return out;
 }
 
+/// Plays a generation whose events, of four tokens each, come at a steady pace.
+auto playGeneration(forwarding_fixture &f, std::int64_t msPerEvent) -> void
+{
+    constexpr std::uint64_t EVENTS = 12;
+    f.openEstimated("draft", 100);
+    f.beginStream();
+    for (std::uint64_t event = 1; event <= EVENTS; ++event) {
+        f.advance(msPerEvent);
+        f.streamEvents(event, event);
+    }
+    f.core.onEvent(stream_completed{f.lastSend().exchangeId});
+}
+
 } // namespace
 
 TEST_CASE(
@@ -41,3 +54,64 @@
     CHECK(f.sends() == 0);
     CHECK(refusedAsDraining(f) == 1);
 }
+
+TEST_CASE("a generation that no server has got yet is kept waiting after the stop order")
+{
+    forwarding_fixture f;
+    f.core.onServerList({serverOf("i-a", "desk")});
+    f.openEstimated("draft", 1'000);
+    REQUIRE(f.sink.callers<send_failure>().empty());
+    f.core.drain(f.time.now + STOP_IN_US);
+    CHECK(refusedAsDraining(f) == 1);
+    CHECK(f.core.drained());
+}
+
+TEST_CASE("a request is sent again after the stop order although it cannot end in time")
+{
+    forwarding_fixture f;
+    f.openEstimated("label", 1'000);
+    f.core.drain(f.time.now + STOP_IN_US);
+    f.failExchange(fetch_phase::connecting);
+    CHECK(f.sends() == 1);
+    CHECK(refusedAsDraining(f) == 1);
+}
+
+TEST_CASE("a stopping process refuses generations that end in time at the pace seen lately")
+{
+    forwarding_fixture f;
+    playGeneration(f, 10);
+    f.core.drain(f.time.now + STOP_IN_US);
+    f.openEstimated("draft", 200);
+    CHECK(f.sends() == 2);
+    CHECK(refusedAsDraining(f) == 0);
+}
+
+TEST_CASE("a stopping process accepts generations that slow engines do not complete in time")
+{
+    forwarding_fixture f;
+    playGeneration(f, 150);
+    f.core.drain(f.time.now + STOP_IN_US);
+    f.openEstimated("draft", 100);
+    CHECK(f.sends() == 1);
+    CHECK(refusedAsDraining(f) == 1);
+
+    forwarding_fixture g;
+    playGeneration(g, 150);
+    g.advance(20'001);
+    g.core.drain(g.time.now + STOP_IN_US);
+    g.openEstimated("draft", 100);
+    CHECK(g.sends() == 2);
+}
+
+TEST_CASE("a stopping process accepts calls that its slow servers do not answer in time")
+{
+    forwarding_fixture f;
+    f.openRequest("book");
+    f.advance(2'500);
+    f.core.onEvent(response_received{
+        .exchangeId = f.lastSend().exchangeId, .head = {.status = 200}, .body = "ok"});
+    f.core.drain(f.time.now + STOP_IN_US);
+    f.openRequest("book");
+    CHECK(f.sends() == 1);
+    CHECK(refusedAsDraining(f) == 1);
+}
