Forwarding: the end of a request is predicted from the slowest of several observations

Cause: with one pause within 32 tokens taken for the pace of a pool, and the slowest first event taken half as long again, requests that end in time were refused during a stop; all callers were told to return within 0.2 s, although other entries that stop as well are back only after a second or more. A caller refused because of a stop returns after up to 0.35 of its latency target, so that it is still in time and may find entries that have started again.

--- a/src/forwarding/completionforecast.h
+++ b/src/forwarding/completionforecast.h
@@ -11,12 +11,13 @@
 /// Options of a completion_forecast.
 struct completion_forecast_options
 {
-    /// Factor on the slowest answer or first event seen, since the next one may be slower.
-    double answerMargin = 1.5;
-    /// Time per output token while no generation of the pool has been seen lately.
+    /// Time per output token while too few generations of the pool have been seen lately.
     std::int64_t initialUsPerToken = 20 * US_PER_MS;
-    /// Tokens after its first event from which a generation shows the pace of its pool.
-    std::uint64_t minPaceTokens = 32;
+    /// Tokens after its first event from which a generation shows the pace of its pool; a pause
+    /// weighs too much before.
+    std::uint64_t minPaceTokens = 128;
+    /// Observations from which the slowest one is relied on.
+    std::uint64_t minObservations = 8;
     /// What was seen is forgotten between one and two periods later.
     std::int64_t periodUs = 10 * US_PER_SECOND;
 };
@@ -62,13 +63,10 @@
             return request.deadline;
         }
         auto &seen = seenOf(*request.pool);
-        const auto slowest = static_cast<double>(seen.answerUs.value(now).value_or(0));
-        auto us = std::max(request.route->latencyTargetMs * US_PER_MS,
-                           static_cast<std::int64_t>(slowest * m_options.answerMargin));
+        auto us = slowest(seen.answerUs, request.route->latencyTargetMs * US_PER_MS, now);
         if (request.isGeneration()) {
-            const auto usPerToken
-                = seen.usPerToken.value(now).value_or(m_options.initialUsPerToken);
-            us += (maxTokens - std::min(maxTokens, request.producedTokens())) * usPerToken;
+            const auto tokensLeft = maxTokens - std::min(maxTokens, request.producedTokens());
+            us += tokensLeft * slowest(seen.usPerToken, m_options.initialUsPerToken, now);
         }
         return std::min(request.deadline, now + us);
     }
@@ -79,6 +77,11 @@
         recent_maximum answerUs;
         recent_maximum usPerToken;
     };
+    auto slowest(recent_maximum &seen, std::int64_t initial, time_us now) const -> std::int64_t
+    {
+        const auto value = seen.value(now);
+        return seen.count(now) < m_options.minObservations ? std::max(initial, value) : value;
+    }
     auto seenOf(const pool_entry &pool) -> pool_observations &
     {
         const recent_maximum none(m_options.periodUs);
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -135,7 +135,7 @@
         const auto &incoming = *opened.request;
         const auto reason = m_admission.refusalReason(incoming, m_requests.size());
         if (reason != failure::none) {
-            refuse(incoming.callerId, incoming.requestId, reason, drawRetryAfterMs(reason));
+            refuse(incoming.callerId, incoming.requestId, reason, drawRetryAfterMs());
             return;
         }
         if (const auto until = m_quarantine.quarantinedUntil(incoming)) {
@@ -697,7 +697,9 @@
         }
         std::optional<std::int64_t> retryAfterMs;
         if (ran == run_state::not_run) {
-            retryAfterMs = drawRetryAfterMs(reason) + (retryAt ? msUntil(*retryAt) : 0);
+            retryAfterMs = reason == failure::draining
+                               ? drawStoppingRetryAfterMs(request)
+                               : drawRetryAfterMs() + (retryAt ? msUntil(*retryAt) : 0);
         }
         failWithReason(request, reason, ran, retryAfterMs);
         close(request);
@@ -802,11 +804,20 @@
     {
         return m_retries.try_emplace(pool.name, m_options.retries).first->second;
     }
-    auto drawRetryAfterMs(failure reason) -> std::int64_t
+    auto drawRetryAfterMs() -> std::int64_t
+    {
+        return drawMs(m_options.minRetryAfterMs, m_options.maxRetryAfterMs);
+    }
+    /// Other entries can serve the caller, but some of them may be stopping too and are back soon:
+    /// as much later as its latency target allows.
+    auto drawStoppingRetryAfterMs(const request_state &request) -> std::int64_t
+    {
+        const auto maxMs = static_cast<std::int64_t>(
+            m_options.stoppingRetryShare * static_cast<double>(request.route->latencyTargetMs));
+        return drawMs(maxMs / 4, maxMs);
+    }
+    auto drawMs(std::int64_t min, std::int64_t max) -> std::int64_t
     {
-        const auto stopping = reason == failure::draining;
-        const auto min = stopping ? m_options.minStoppingRetryAfterMs : m_options.minRetryAfterMs;
-        const auto max = stopping ? m_options.maxStoppingRetryAfterMs : m_options.maxRetryAfterMs;
         return min + static_cast<std::int64_t>(m_random() % (max - min + 1));
     }
 
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -42,9 +42,9 @@
     /// Range of the random retry delay given to refused callers.
     std::int64_t minRetryAfterMs = 400;
     std::int64_t maxRetryAfterMs = 1'200;
-    /// The same while this process stops: another entry can serve the caller at once.
-    std::int64_t minStoppingRetryAfterMs = 20;
-    std::int64_t maxStoppingRetryAfterMs = 200;
+    /// Longest retry delay given to a caller that is refused because the process stops, as a share
+    /// of its latency target.
+    double stoppingRetryShare = 0.35;
     /// Time after which a repeatable request is retried on another server, in latency targets.
     double hedgeAfterTargets = 2.0;
     /// Share of the output limit that a generation without an estimate is expected to use.
--- a/src/limits/recentmaximum.h
+++ b/src/limits/recentmaximum.h
@@ -4,12 +4,11 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <optional>
 
 namespace marjoram {
 
-/// Largest value observed lately. A value is forgotten between one and two periods after it was
-/// observed. Not thread safe.
+/// Largest of the positive values observed lately. A value is forgotten between one and two periods
+/// after it was observed. Not thread safe.
 class recent_maximum
 {
 public:
@@ -22,32 +21,44 @@
     auto observe(std::int64_t value, time_us now) -> void
     {
         forget(now);
-        m_current = std::max(m_current.value_or(value), value);
+        m_current.largest = std::max(m_current.largest, value);
+        ++m_current.count;
     }
-    /// Nothing if no value was observed lately. Precondition: `now` never decreases.
-    auto value(time_us now) -> std::optional<std::int64_t>
+    /// 0 if no value was observed lately. Precondition: `now` never decreases.
+    auto value(time_us now) -> std::int64_t
     {
         forget(now);
-        return m_current && m_previous ? std::max(m_current, m_previous)
-                                       : (m_current ? m_current : m_previous);
+        return std::max(m_current.largest, m_previous.largest);
+    }
+    /// Number of values observed lately. Precondition: `now` never decreases.
+    auto count(time_us now) -> std::uint64_t
+    {
+        forget(now);
+        return m_current.count + m_previous.count;
     }
 
 private:
+    struct period
+    {
+        std::int64_t largest = 0;
+        std::uint64_t count = 0;
+    };
+
     auto forget(time_us now) -> void
     {
         const auto passed = (now - m_periodStart) / m_periodUs;
         if (passed <= 0) {
             return;
         }
-        m_previous = passed == 1 ? m_current : std::nullopt;
-        m_current.reset();
+        m_previous = passed == 1 ? m_current : period{};
+        m_current = {};
         m_periodStart = m_periodStart + passed * m_periodUs;
     }
 
     std::int64_t m_periodUs;
     time_us m_periodStart;
-    std::optional<std::int64_t> m_current;
-    std::optional<std::int64_t> m_previous;
+    period m_current;
+    period m_previous;
 };
 
 } // namespace marjoram
