Run mover: a run of slow engines is moved off its leaving server in time

Change: the slowest pace that the entry has seen of the pool lately counts if it is slower. Result: the test fails with the fixed pace (0 copies ordered, 1 expected) and passes now.

--- a/src/forwarding/completionforecast.h
+++ b/src/forwarding/completionforecast.h
@@ -55,6 +55,12 @@
             seenOf(*request.pool).usPerToken.observe(us / static_cast<std::int64_t>(tokens), now);
         }
     }
+    /// Time per output token of the slowest generation that was seen of the pool lately; 0 if there
+    /// was none. Precondition: the request has a pool.
+    auto slowestUsPerToken(const request_state &request, time_us now) -> std::int64_t
+    {
+        return seenOf(*request.pool).usPerToken.value(now);
+    }
     /// Returns when the request, if it is sent now, ends at the latest.
     auto latestEnd(const request_state &request, time_us now) -> time_us
     {
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -306,6 +306,10 @@
     {
         m_sink.log(event, requestId, std::move(fields));
     }
+    auto slowestUsPerToken(const request_state &request) -> std::int64_t
+    {
+        return m_forecast.slowestUsPerToken(request, m_clock.now());
+    }
     auto observeMove(std::int64_t us) -> void { observe(latency_kind::move, us); }
     /// The requests concerned end once the current event has been handled.
     auto onQuarantineChanged() -> void { m_quarantineChanged = true; }
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -28,9 +28,9 @@
     std::int64_t firstReportTimeoutUs = 120 * US_PER_MS;
     /// Time a source has to end its stream after its run was stopped.
     std::int64_t sourceEndTimeoutUs = 30 * US_PER_MS;
-    /// Time per output token on a shared engine, and a safety margin, to predict whether a run
-    /// finishes before its server shuts down.
-    std::int64_t usPerToken = 10 * US_PER_MS;
+    /// Least time per output token on a shared engine, and a safety margin, to predict whether a
+    /// run finishes before its server shuts down.
+    std::int64_t minUsPerToken = 10 * US_PER_MS;
     std::int64_t finishMarginUs = 300 * US_PER_MS;
 };
 
@@ -54,6 +54,9 @@
     {
         host.chooseServer(request, true)
         } -> std::same_as<const server_view *>;
+    {
+        host.slowestUsPerToken(request)
+        } -> std::same_as<std::int64_t>;
 };
 
 /// Moves running generations off a leaving server. Copies the KV cache while the run continues,
@@ -206,10 +209,11 @@
         const auto &params = request.request->generation;
         const auto produced = request.producedTokens();
         const auto remainingUs = *source.shutdownAt - m_clock.now() - m_options.finishMarginUs;
+        const auto usPerToken
+            = std::max(m_options.minUsPerToken, m_host.slowestUsPerToken(request));
         const auto endsBy = [&](std::uint32_t output) {
             return output > produced
-                   && static_cast<std::int64_t>(output - produced) * m_options.usPerToken
-                          < remainingUs;
+                   && static_cast<std::int64_t>(output - produced) * usPerToken < remainingUs;
         };
         if (endsBy(params.maxOutputTokens)) {
             return true;
--- a/src/forwarding/tests/plannedstoptests.cpp
+++ b/src/forwarding/tests/plannedstoptests.cpp
@@ -116,3 +116,15 @@
     CHECK(f.sends() == 1);
     CHECK(refusedAsDraining(f) == 1);
 }
+
+TEST_CASE("a run of slow engines stays on its leaving server until that shuts down")
+{
+    constexpr std::int64_t LEAVES_MS = 4'000;
+    forwarding_fixture f;
+    playGeneration(f, 100);
+    f.openRequest("draft");
+    f.beginStream();
+    f.streamEvents(1, 200);
+    f.reportLeaving(f.lastSend().request->requestId, LEAVES_MS);
+    CHECK(f.copyCommands() == 1);
+}
