--- a/src/admission/enginecore.h
+++ b/src/admission/enginecore.h
@@ -70,7 +70,7 @@
                                 .attempt = bid.attempt,
                                 .footprint = footprintOf(bid),
                                 .waitingSince = m_clock.now(),
-                                .deadline = m_clock.now() + bid.deadlineMs * US_PER_MS};
+                                .deadline = m_clock.now() + toUs(bid.deadlineMs)};
         m_bids.insert_or_assign(bid.generation, bid_key{.linkId = linkId, .attempt = bid.attempt});
         // With tokens given, the bid continues an answer that its caller is already reading.
         if (bid.givenTokens > 0) {
--- a/src/calls/servicecore.h
+++ b/src/calls/servicecore.h
@@ -345,7 +345,7 @@
                              .team = call.team,
                              .weight = team ? team->weight : 1,
                              .callers = {from},
-                             .deadline = m_clock.now() + call.deadlineMs * US_PER_MS};
+                             .deadline = m_clock.now() + toUs(call.deadlineMs)};
         pending.call = std::move(call);
         return pending;
     }
--- a/src/configuration/gossipcore.h
+++ b/src/configuration/gossipcore.h
@@ -95,7 +95,7 @@
         if (peer != m_peers.end()) {
             peer->second.announced = true;
         }
-        const auto confirmedAt = m_clock.now() + -(heard.confirmedAgoMs * US_PER_MS);
+        const auto confirmedAt = m_clock.now() + -toUs(heard.confirmedAgoMs);
         m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
         for (std::size_t i = 0; i < DOCUMENT_COUNT; ++i) {
             fetchIfNewer(link, i, heard.versions[i]);
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -239,7 +239,7 @@
             .resumeFrom = copy});
         if (request.route->kind == work_kind::repeatable && request.route->attempts > 1) {
             const auto us = m_options.hedgeAfterTargets
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(toUs(request.route->latencyTargetMs));
             m_timers.set({timer_kind::hedge, request.number}, now + static_cast<std::int64_t>(us));
         }
     }
--- a/src/forwarding/requestadmission.h
+++ b/src/forwarding/requestadmission.h
@@ -65,7 +65,7 @@
         request.lastEvent = incoming->generation.resumeAfter.value_or(0);
         request.openedAt = now;
         const auto patience = incoming->callerTimeoutMs.value_or(request.route->timeoutMs);
-        request.deadline = now + std::min(patience, request.route->timeoutMs) * US_PER_MS;
+        request.deadline = now + toUs(std::min(patience, request.route->timeoutMs));
         return state;
     }
 
@@ -77,7 +77,7 @@
         const auto output = route.kind == work_kind::generation
                                 ? params.outputEstimate.value_or(params.maxOutputTokens)
                                 : 0;
-        return route.latencyTargetMs * US_PER_MS + output * m_options.usPerToken;
+        return toUs(route.latencyTargetMs) + output * m_options.usPerToken;
     }
     auto pickPool(const route_entry &route) -> std::string
     {
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -208,7 +208,7 @@
     /// Number of prompts that may be read before this one without missing the latency target.
     auto maxPromptsAhead(const request_state &request) const -> std::uint32_t
     {
-        const auto us = static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+        const auto us = static_cast<double>(toUs(request.route->latencyTargetMs));
         return static_cast<std::uint32_t>(us * m_options.prefillShare
                                           / static_cast<double>(m_options.prefillUs));
     }
@@ -231,7 +231,7 @@
         request.phase = request_phase::waiting;
         if (!request.waitUntil) {
             const auto us = m_options.maxWaitShare
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(toUs(request.route->latencyTargetMs));
             request.waitUntil = now + static_cast<std::int64_t>(us);
             m_host.log(log_event::request_waiting, request,
                        {{"route", request.route->name},
--- a/src/framework/global/clock.h
+++ b/src/framework/global/clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <concepts>
@@ -20,6 +21,16 @@
 inline constexpr std::int64_t US_PER_MS = 1'000;
 inline constexpr std::int64_t US_PER_SECOND = 1'000'000;
 inline constexpr std::int64_t MS_PER_SECOND = 1'000;
+inline constexpr std::int64_t SECONDS_PER_YEAR = 31'536'000;
+/// Bound on durations that come from outside the process; sums of a few stay in range.
+inline constexpr std::int64_t MAX_DURATION_MS = 100 * SECONDS_PER_YEAR * MS_PER_SECOND;
+
+/// Converts a duration that comes from outside the process, limited to MAX_DURATION_MS either way.
+/// Thread safe.
+constexpr auto toUs(std::int64_t ms) -> std::int64_t
+{
+    return std::clamp(ms, -MAX_DURATION_MS, MAX_DURATION_MS) * US_PER_MS;
+}
 
 /// Source of monotonic and wall-clock time for decision code.
 template <typename C>
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -39,7 +39,7 @@
 auto crash_evidence::add(const run_observation &seen, time_us now) -> bool
 {
     dropExpired(now);
-    const auto at = now + -seen.ageMs * US_PER_MS;
+    const auto at = now + -toUs(seen.ageMs);
     const auto isNew
         = seen.fate == run_fate::survived ? addSurvivor(seen, at) : addLostRun(seen, at);
     m_signaturesValid = m_signaturesValid && !isNew;
--- a/src/quarantine/internal/observationlog.cpp
+++ b/src/quarantine/internal/observationlog.cpp
@@ -14,13 +14,13 @@
                && record.seen.attempt == seen.attempt && record.seen.serverId == seen.serverId
                && record.seen.traits == seen.traits;
     });
-    if (known || seen.ageMs * US_PER_MS > m_options.retentionUs) {
+    if (known || toUs(seen.ageMs) > m_options.retentionUs) {
         return false;
     }
     if (m_records.size() >= m_options.limit) {
         m_records.pop_front();
     }
-    m_records.push_back({.seen = seen, .seenAt = now + -seen.ageMs * US_PER_MS, .addedAt = now});
+    m_records.push_back({.seen = seen, .seenAt = now + -toUs(seen.ageMs), .addedAt = now});
     return true;
 }
 
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -156,7 +156,7 @@
     auto onRateLimit(const server_rate_limit &seen) -> void
     {
         const auto now = m_clock.now();
-        const auto seenAt = now + -seen.ageMs * US_PER_MS;
+        const auto seenAt = now + -toUs(seen.ageMs);
         if (m_report.rateLimitKnown && seenAt <= m_rateLimitSeenAt) {
             return;
         }
@@ -275,13 +275,15 @@
         if (before == seen.bornUnixMs) {
             return;
         }
-        const auto ageMs = std::abs(m_clock.unixMs() - seen.bornUnixMs);
+        const auto unixMs = m_clock.unixMs();
+        const auto justStarted = seen.bornUnixMs > unixMs - m_options.justStartedAgeMs
+                                 && seen.bornUnixMs < unixMs + m_options.justStartedAgeMs;
         m_identity.reset();
         m_announceUntil.reset();
         if (before) {
             forgetRateLimit();
         }
-        if (before || ageMs < m_options.justStartedAgeMs) {
+        if (before || justStarted) {
             m_announceUntil = m_clock.now() + m_options.announceDurationUs;
         }
     }
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -225,3 +225,14 @@
     REQUIRE(f.sink.reports.size() == 2);
     CHECK(f.sink.reports.back().turn == "b");
 }
+
+// The difference to the present wrapped around, and the start counted as recent.
+TEST_CASE("a server whose start lies far in the past or in the future has not just started")
+{
+    constexpr std::int64_t NOW_UNIX_MS = 1'800'000'000'000;
+    for (const auto born : {INT64_MIN, INT64_MIN + NOW_UNIX_MS, INT64_MAX}) {
+        fixture f;
+        f.core.onReport({.bornUnixMs = born});
+        CHECK_FALSE(f.core.wantsIdentity());
+    }
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -9,7 +9,7 @@
 /// The entry states the remaining warm-up time when it is written; the view counts it down.
 auto makeView(const server_entry &entry, time_us now) -> server_view
 {
-    return {.entry = entry, .warmUpUntil = now + entry.warmUpLeftMs * US_PER_MS};
+    return {.entry = entry, .warmUpUntil = now + toUs(entry.warmUpLeftMs)};
 }
 
 auto sameProcess(const server_entry &known, const server_entry &entry) -> bool
@@ -83,7 +83,7 @@
     const auto becameLeaving = nowLeaving && !view->leaving();
     view->reportedLeaving = nowLeaving;
     if (report.leavesMs) {
-        view->shutdownAt = now + *report.leavesMs * US_PER_MS;
+        view->shutdownAt = now + toUs(*report.leavesMs);
     }
     view->report = std::move(report);
     view->reportAt = now;
@@ -175,12 +175,12 @@
     if (!reported) {
         return;
     }
-    const auto seenAt = now + -reported->ageMs * US_PER_MS;
+    const auto seenAt = now + -toUs(reported->ageMs);
     if (!view.rateLimit || seenAt > view.rateLimitSeenAt) {
         setRateLimit(view, reported->milliPerSecond, seenAt, now);
     }
     if (view.rateLimit->milliPerSecond > 0 && hasGranter(view, now)) {
-        view.limitedUntil = now + view.report->limitedForMs * US_PER_MS;
+        view.limitedUntil = now + toUs(view.report->limitedForMs);
     }
 }
 
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -103,3 +103,25 @@
     CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
     CHECK(directory.usableServers("engines", {}).empty());
 }
+
+// The product of a huge number of milliseconds and 1,000 wrapped around, and a server that had just
+// started counted as warm, or one that was about to leave as long gone.
+TEST_CASE("durations that servers state are limited instead of wrapping around")
+{
+    constexpr time_us NOW{1'000 * US_PER_SECOND};
+    constexpr std::int64_t LONGEST = INT64_MAX;
+    server_directory directory({});
+    auto cold = entryOf("a");
+    cold.warmUpLeftMs = LONGEST;
+    directory.onServerList({cold}, NOW);
+    CHECK(directory.find("a")->warmUpUntil > NOW);
+    directory.onReport("a", {.leavesMs = LONGEST}, NOW);
+    CHECK(*directory.find("a")->shutdownAt > NOW);
+    directory.onReport("a", {.leavesMs = INT64_MIN}, NOW);
+    CHECK(*directory.find("a")->shutdownAt < NOW);
+    directory.onReport("a",
+                       {.rateLimit = server_rate_limit{.milliPerSecond = 1, .ageMs = INT64_MIN},
+                        .limitedForMs = LONGEST},
+                       NOW);
+    CHECK(directory.find("a")->limitedUntil > NOW);
+}
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -304,7 +304,7 @@
         }
         return bytes > m_options.totalBodyLimitBytes;
     }
-    auto deadlineIn(std::int64_t ms) const -> time_us { return m_clock.now() + ms * US_PER_MS; }
+    auto deadlineIn(std::int64_t ms) const -> time_us { return m_clock.now() + toUs(ms); }
     /// Starts an exchange on an idle channel, or on a new one if `to` is null.
     auto startExchange(const endpoint &server, channel_ptr to, exchange_state exchange) -> void
     {
@@ -363,7 +363,7 @@
         }
         const auto now = m_clock.now();
         m_idle[toText(from.peer())].push_back(
-            {.channelId = from.id(), .since = now, .until = now + idleTimeoutMs * US_PER_MS});
+            {.channelId = from.id(), .since = now, .until = now + toUs(idleTimeoutMs)});
         from.idle();
         scheduleSweep();
     }
