Reading: ids and handles from outside cannot break a header field

Callers' requests could carry header fields that no one set: the id of a server (a key of the directory service, or a datagram that announces a server) and the handle of a copy go into header fields of each request. With a line break they end the field and begin another one; from the length that the HTTP library allows on (64 KB) it throws, which nothing catches. Ports of 0 and addresses of no single host (0.0.0.0 is the entry itself) got requests as well, and a NUL in an address hid what followed.

Change: isPlainToken() decides what may stand in a field, isAddressable() which entry or announcement names a server. Parsed addresses are kept in canonical form.

The exception was found by reading the library, not by a run.

--- a/src/framework/http/httptypes.h
+++ b/src/framework/http/httptypes.h
@@ -19,6 +19,10 @@
 /// Value of the first field of a name, compared without case; empty when absent. Thread safe.
 auto findHeader(const std::vector<http_header> &headers, std::string_view name) -> std::string_view;
 
+/// Whether a text from outside may stand in a header field or a target: visible ASCII characters
+/// only, not empty and not longer than 1,024 bytes. Thread safe.
+auto isPlainToken(std::string_view text) -> bool;
+
 /// A request, as received or to be sent.
 struct http_request
 {
--- a/src/framework/http/internal/httptypes.cpp
+++ b/src/framework/http/internal/httptypes.cpp
@@ -1,5 +1,6 @@
 #include "framework/http/httptypes.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
@@ -16,6 +17,16 @@
     return {};
 }
 
+auto isPlainToken(std::string_view text) -> bool
+{
+    constexpr std::size_t LIMIT_BYTES = 1'024;
+    constexpr char FIRST_VISIBLE = '!';
+    constexpr char LAST_VISIBLE = '~';
+    return !text.empty() && text.size() <= LIMIT_BYTES
+           && std::all_of(text.begin(), text.end(),
+                          [](char one) { return one >= FIRST_VISIBLE && one <= LAST_VISIBLE; });
+}
+
 auto http_request::header(std::string_view name) const -> std::string_view
 {
     return findHeader(headers, name);
@@ -53,12 +64,15 @@
     if (colon == std::string_view::npos) {
         return make_error_code(endpoint_error::malformed);
     }
-    endpoint out{.address = std::string(text.substr(0, colon))};
+    endpoint out;
     const auto portText = text.substr(colon + 1);
     const auto parsed
         = std::from_chars(portText.data(), portText.data() + portText.size(), out.port);
     boost::system::error_code error;
-    boost::asio::ip::make_address_v4(out.address, error);
+    // A parsed address ends at a NUL; its canonical text does not keep what follows.
+    const auto address
+        = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    out.address = address.to_string();
     if (error || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
         return make_error_code(endpoint_error::malformed);
     }
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -129,7 +129,7 @@
     auto onAnnouncement(server_news_frame announcement) -> void
     {
         const auto where = parseEndpoint(announcement.server);
-        if (!where || announcement.id.empty()
+        if (!where || !isAddressable({.id = announcement.id, .address = *where})
             || !seenAnnouncements.insert({announcement.id, announcement.bornUnixMs}).second) {
             return;
         }
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -41,6 +41,10 @@
     friend auto operator==(const server_entry &, const server_entry &) -> bool = default;
 };
 
+/// Whether requests can be addressed to the server of an entry: its address is that of one host,
+/// and its id fits into a header field. Thread safe.
+auto isAddressable(const server_entry &entry) -> bool;
+
 /// Identity that a backend server reports.
 struct server_identity
 {
