--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -93,7 +93,13 @@
             m_listedKeys[item.key] = true;
             receive(std::move(item));
         }
-        if (page.more && !last.empty()) {
+        if (page.more) {
+            // Without a key to begin after, or with the last one again, the listing would not end.
+            if (last.empty() || last == m_listedUpTo) {
+                onFailed();
+                return;
+            }
+            m_listedUpTo = last;
             m_sink.list(last);
             return;
         }
@@ -116,6 +122,7 @@
         markAvailable();
         m_listing = true;
         m_listedKeys.clear();
+        m_listedUpTo.clear();
         m_sink.list({});
     }
     auto onFailed() -> void
@@ -169,6 +176,7 @@
     auto call() -> void
     {
         if (m_listing) {
+            m_listedUpTo.clear();
             m_sink.list({});
         } else {
             m_sink.watch(m_revision, m_options.longPollMs);
@@ -232,6 +240,8 @@
     std::map<std::string, published<Item>> m_items;
     std::map<std::string, published<Item>> m_pendingRemovals;
     std::map<std::string, bool> m_listedKeys;
+    /// Last key of the latest page.
+    std::string m_listedUpTo;
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     bool m_listing = true;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -119,3 +119,44 @@
     f.advance(400);
     CHECK(f.sink.watches == std::vector<std::uint64_t>{5, 5});
 }
+
+// The listing began after the same key again and again without a pause, or ended early, and what
+// was not on its pages counted as removed.
+TEST_CASE("a page that does not advance the listing is a failure, and removes nothing")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onCompacted();
+    f.feed.onPage(
+        {.items = {{.key = "a", .revision = 1, .value = 1}}, .more = true, .revision = 7});
+    f.feed.onPage(
+        {.items = {{.key = "a", .revision = 1, .value = 1}}, .more = true, .revision = 7});
+    CHECK(f.sink.lists == std::vector<std::string>{"", "", "a"});
+    CHECK(f.sink.lost == 1);
+    f.advance(401);
+    CHECK(f.sink.lists.size() == 4);
+    f.feed.onPage({.more = true, .revision = 8});
+    CHECK(f.feed.items().size() == 2);
+    CHECK(f.sink.lists.size() == 4);
+    f.advance(401);
+    CHECK(f.sink.lists.back().empty());
+    f.listed({"a"}, 9);
+    f.advance(2'100);
+    CHECK_FALSE(f.feed.items().contains("b"));
+}
+
+TEST_CASE("an item that cannot be decoded ends what was known under its key, until it is changed")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onChanges({{.key = "a", .revision = 6}}, 6);
+    CHECK_FALSE(f.feed.items().at("a").value);
+    CHECK(f.feed.items().at("b").value == 1);
+    f.feed.onChanges({{.key = "a", .revision = 7, .value = 2}}, 7);
+    CHECK(f.feed.items().at("a").value == 2);
+    f.feed.onChanges({{.key = "a", .revision = 8}}, 8);
+    f.feed.onChanges({{.key = "a", .revision = 9, .removed = true}}, 9);
+    CHECK(f.feed.items().size() == 1);
+}
