Connections: an answer written once more is not taken for a later one

Callers were told "not run, try again" for requests that a server had run or was running, or such a request ran at a second server; a run could resume from the KV cache of another.

Cause: a refusal need not name its request, so one that a faulty server wrote once more on a kept connection counted as the answer to the next request there. A refusal that names its request did so as well when the request came back to that server over the same connection. Answers about copies name no request at all, and were not compared with anything: an earlier one, or one that names another request, was taken as the result, with its handle.

Change: a connection on which a request was refused carries from then on only requests that may run twice; others, and copies, use one without refusals or a new one. The connection of a copy, or of the deletion of one, is closed after it. An answer that names another request is skipped for copies too. A refusal behind a skipped answer proves nothing: the outcome is unknown.

--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -7,6 +7,7 @@
 #include "framework/ring/duty.h"
 #include "framework/ring/ringends.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <unordered_map>
@@ -158,17 +159,17 @@
     auto onHead(channel &from, const channel_head &head) -> head_verdict
     {
         auto &exchange = m_exchanges.at(from.id());
+        const auto identity = identify(exchange, head);
+        if (identity == answer_identity::of_another_request) {
+            m_metrics.add(upstream_metric::answers_skipped);
+            exchange.skipped = true;
+            return head_verdict::skip;
+        }
+        if (identity == answer_identity::unnamed) {
+            exchange.error = make_error_code(upstream_error::unidentified_answer);
+            return head_verdict::refuse;
+        }
         if (exchange.kind == exchange_kind::forward) {
-            switch (Codec::identify(head, exchange.send.request->requestId)) {
-            case answer_identity::of_another_request:
-                m_metrics.add(upstream_metric::answers_skipped);
-                return head_verdict::skip;
-            case answer_identity::unnamed:
-                exchange.error = make_error_code(upstream_error::unidentified_answer);
-                return head_verdict::refuse;
-            case answer_identity::expected:
-                break;
-            }
             exchange.head = Codec::decode(head);
         }
         exchange.request = {};
@@ -213,12 +214,13 @@
         if (exchange.reused && outcome.phase == fetch_phase::connecting) {
             // The peer had closed the idle connection before anything was sent: use a new one.
             m_channels.erase(from.id());
-            startExchange(from.peer(), nullptr, std::move(exchange));
+            startExchange(from.peer(), std::nullopt, std::move(exchange));
             return;
         }
-        if (outcome.reusable && !exchange.error) {
-            keepIdle(from, exchange.idleTimeoutMs);
+        if (outcome.reusable && !exchange.error && mayBeKept(exchange)) {
+            keepIdle(from, exchange);
         } else {
+            from.close();
             m_channels.erase(from.id());
         }
         reportOutcome(std::move(exchange), outcome);
@@ -232,10 +234,18 @@
         exchange_kind kind = exchange_kind::forward;
         send_request send;
         std::uint64_t copyId = 0;
+        /// Request whose run is copied.
+        std::string copiedRequestId;
         /// Kept until the answer begins, for a retry if the idle connection was already closed.
         http_request request;
         bool reused = false;
+        /// A request was refused on this connection earlier.
+        bool refusedBefore = false;
+        /// An answer to another request came before that to this one.
+        bool skipped = false;
         response_head head;
+
+        auto isRefused() const -> bool { return head.notRun || head.wrongServer; }
         int status = 0;
         std::optional<std::int64_t> idleTimeoutMs;
         bool streaming = false;
@@ -250,6 +260,14 @@
         std::uint64_t channelId = 0;
         time_us since;
         time_us until;
+        /// A request was refused on this connection.
+        bool refused = false;
+    };
+    /// What a request demands of a connection that is reused.
+    struct idle_needs
+    {
+        bool recent = false;
+        bool neverRefused = false;
     };
     using channel_ptr = std::shared_ptr<channel>;
 
@@ -259,7 +277,8 @@
     auto on(send_request &&send) -> void
     {
         const auto server = send.server;
-        auto idle = takeIdle(server, send.freshConnection);
+        auto idle = takeIdle(
+            server, {.recent = send.freshConnection, .neverRefused = send.freshConnection});
         exchange_state exchange{.kind = exchange_kind::forward,
                                 .request = Codec::encode(send),
                                 .timeoutAt
@@ -278,16 +297,17 @@
     }
     auto on(const copy_run &copy) -> void
     {
-        startExchange(copy.source, takeIdle(copy.source, false),
+        startExchange(copy.source, takeIdle(copy.source, {.neverRefused = true}),
                       {.kind = exchange_kind::copy,
                        .copyId = copy.copyId,
+                       .copiedRequestId = copy.requestId,
                        .request = Codec::encode(copy),
                        .timeoutAt = deadlineIn(m_options.copyTimeoutMs)});
     }
     auto on(const release_kv_copy &released) -> void
     {
         const auto &source = released.copy.source;
-        startExchange(source, takeIdle(source, false),
+        startExchange(source, takeIdle(source, {.neverRefused = true}),
                       {.kind = exchange_kind::release,
                        .request = Codec::encode(released),
                        .timeoutAt = deadlineIn(m_options.copyTimeoutMs)});
@@ -304,11 +324,44 @@
         }
         return bytes > m_options.totalBodyLimitBytes;
     }
+    auto identify(exchange_state &exchange, const channel_head &head) -> answer_identity
+    {
+        switch (exchange.kind) {
+        case exchange_kind::forward: {
+            const auto identity = Codec::identify(head, exchange.send.request->requestId);
+            const auto decoded = Codec::decode(head);
+            // A server that repeats answers may repeat a refusal, which need not name its request.
+            const auto doubtful = exchange.skipped && (decoded.notRun || decoded.wrongServer);
+            return identity == answer_identity::expected && doubtful ? answer_identity::unnamed
+                                                                     : identity;
+        }
+        case exchange_kind::copy: {
+            const auto identity = Codec::identify(head, exchange.copiedRequestId);
+            return identity == answer_identity::of_another_request ? identity
+                                                                   : answer_identity::expected;
+        }
+        case exchange_kind::release:
+            break;
+        }
+        return answer_identity::expected;
+    }
+    /// Whether the connection of a completed exchange may carry another one. Answers that name no
+    /// request, such as those about copies, could be taken for a later one if they were repeated.
+    /// After a refusal only requests that may run twice reuse the connection.
+    static auto mayBeKept(const exchange_state &exchange) -> bool
+    {
+        const auto refused = exchange.isRefused() || exchange.refusedBefore;
+        return exchange.kind == exchange_kind::forward
+               && !(refused && exchange.send.freshConnection);
+    }
     auto deadlineIn(std::int64_t ms) const -> time_us { return m_clock.now() + toUs(ms); }
-    /// Starts an exchange on an idle channel, or on a new one if `to` is null.
-    auto startExchange(const endpoint &server, channel_ptr to, exchange_state exchange) -> void
+    /// Starts an exchange on an idle channel, or on a new one if there is none.
+    auto startExchange(const endpoint &server, const std::optional<idle_channel> &idle,
+                       exchange_state exchange) -> void
     {
-        exchange.reused = to != nullptr;
+        auto to = idle ? m_channels.at(idle->channelId) : nullptr;
+        exchange.reused = idle.has_value();
+        exchange.refusedBefore = idle && idle->refused;
         m_metrics.add(exchange.reused ? upstream_metric::connections_reused
                                       : upstream_metric::connections_opened);
         if (!to) {
@@ -336,26 +389,36 @@
 
     // --- idle connections
 
-    auto takeIdle(const endpoint &server, bool fresh) -> channel_ptr
+    /// Takes the connection that was used last among those that meet the needs.
+    auto takeIdle(const endpoint &server, idle_needs needs) -> std::optional<idle_channel>
     {
         const auto found = m_idle.find(toText(server));
-        if (found == m_idle.end() || found->second.empty()) {
-            return nullptr;
+        if (found == m_idle.end()) {
+            return std::nullopt;
         }
-        const auto newest = found->second.back();
+        auto &channels = found->second;
         const auto now = m_clock.now();
+        const auto newest
+            = std::find_if(channels.rbegin(), channels.rend(), [needs](const idle_channel &idle) {
+                  return !(needs.neverRefused && idle.refused);
+              });
+        if (newest == channels.rend()) {
+            return std::nullopt;
+        }
+        const auto taken = *newest;
         const auto limit
-            = fresh ? newest.since + m_options.freshIdleLimitMs * US_PER_MS : newest.until;
-        if (now >= std::min(limit, newest.until)) {
-            return nullptr;
+            = needs.recent ? taken.since + m_options.freshIdleLimitMs * US_PER_MS : taken.until;
+        if (now >= std::min(limit, taken.until)) {
+            return std::nullopt;
         }
-        found->second.pop_back();
-        return m_channels.at(newest.channelId);
+        channels.erase(std::next(newest).base());
+        return taken;
     }
-    auto keepIdle(channel &from, std::optional<std::int64_t> serverTimeoutMs) -> void
+    auto keepIdle(channel &from, const exchange_state &exchange) -> void
     {
-        const auto idleTimeoutMs = serverTimeoutMs ? *serverTimeoutMs - m_options.idleCloseMarginMs
-                                                   : m_options.idleTimeoutMs;
+        const auto idleTimeoutMs = exchange.idleTimeoutMs
+                                       ? *exchange.idleTimeoutMs - m_options.idleCloseMarginMs
+                                       : m_options.idleTimeoutMs;
         if (idleTimeoutMs <= 0) {
             from.close();
             m_channels.erase(from.id());
@@ -363,7 +426,10 @@
         }
         const auto now = m_clock.now();
         m_idle[toText(from.peer())].push_back(
-            {.channelId = from.id(), .since = now, .until = now + toUs(idleTimeoutMs)});
+            {.channelId = from.id(),
+             .since = now,
+             .until = now + toUs(idleTimeoutMs),
+             .refused = exchange.isRefused() || exchange.refusedBefore});
         from.idle();
         scheduleSweep();
     }
