HTTP server: a response never goes into one that has begun

Callers could find the head and the text of an error in the middle of their stream.

Cause: respond() and startStream() demanded that no response had begun, and nothing checked it; a second response was written into the first one.

Change: the session knows whether a response has begun. A second one closes the connection, so that the first is visibly incomplete. Chunks without a stream are ignored.

Result: "a response given while another has begun closes the connection" failed before (the bytes held "HTTP/1.1 502" within the stream) and passes now.

--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -48,9 +48,14 @@
     /// Whether a request has been read whose answer is not complete.
     auto answering() const -> bool { return m_answering || m_writing; }
 
-    /// Answers the request whole. Precondition: no response has begun.
+    /// Answers the request whole. If a response has begun, closes the connection instead, so that
+    /// nothing is mixed into that response.
     auto respond(http_response response) -> void
     {
+        if (m_streaming || m_writing) {
+            close();
+            return;
+        }
         stopWatching();
         m_response = {};
         m_response.version(HTTP_VERSION);
@@ -74,9 +79,14 @@
             });
     }
 
-    /// Begins a chunked response. Precondition: no response has begun.
+    /// Begins a chunked response. If a response has begun, closes the connection instead.
     auto startStream(const std::vector<http_header> &headers) -> void
     {
+        if (m_streaming || m_writing) {
+            close();
+            return;
+        }
+        m_streaming = true;
         m_head = {};
         m_head.version(HTTP_VERSION);
         m_head.result(boost::beast::http::status::ok);
@@ -96,15 +106,21 @@
                 self->onChunkWritten(error);
             });
     }
-    /// Adds bytes to the stream. Precondition: a stream has begun and has not been finished.
+    /// Adds bytes to the stream; ignored unless a stream has begun and has not been finished.
     auto sendChunk(std::string_view bytes) -> void
     {
+        if (!m_streaming || m_streamEnded) {
+            return;
+        }
         m_pending.append(bytes);
         flush();
     }
-    /// Ends the stream after what was sent.
+    /// Ends the stream after what was sent; ignored unless a stream has begun.
     auto finishStream() -> void
     {
+        if (!m_streaming || m_streamEnded) {
+            return;
+        }
         m_streamEnded = true;
         flush();
     }
@@ -181,6 +197,7 @@
     auto onResponseWritten(boost::beast::error_code error) -> void
     {
         m_writing = false;
+        m_streaming = false;
         if (error || !m_keepAlive) {
             boost::beast::error_code ignored;
             m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
@@ -295,6 +312,8 @@
     bool m_writing = false;
     /// A request has been read and its answer is not complete.
     bool m_answering = false;
+    /// A chunked response has begun and is not complete.
+    bool m_streaming = false;
     bool m_streamEnded = false;
     bool m_left = false;
 };
--- a/src/framework/http/tests/httptests.cpp
+++ b/src/framework/http/tests/httptests.cpp
@@ -1,7 +1,9 @@
 #include "framework/http/httpfetch.h"
 #include "framework/http/httpserver.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace marjoram;
@@ -19,6 +21,19 @@
             session->finishStream();
             return;
         }
+        if (session->request().path() == "/broken-stream") {
+            session->startStream({{"Content-Type", "text/event-stream"}});
+            session->sendChunk("one ");
+            session->respond({.status = 502, .body = "error"});
+            session->sendChunk("two");
+            session->finishStream();
+            return;
+        }
+        if (session->request().path() == "/two-responses") {
+            session->respond({.body = "one"});
+            session->respond({.status = 502, .body = "error"});
+            return;
+        }
         session->respond({.body = session->request().body});
     }
     auto onDrained(http_session<echo_app> &) -> void { }
@@ -55,6 +70,28 @@
     return sink;
 }
 
+/// All bytes that the server writes for a request until it closes the connection.
+auto bytesOf(const std::string &target) -> std::string
+{
+    boost::asio::io_context context;
+    echo_app app;
+    http_server<echo_app> server(context, app, {});
+    const auto where = server.listen({});
+    REQUIRE(where.has_value());
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), where->port});
+    boost::asio::write(
+        socket, boost::asio::buffer("GET " + target + " HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    std::string bytes;
+    auto ended = false;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(bytes),
+                            [&ended](boost::system::error_code, std::size_t) { ended = true; });
+    while (!ended) {
+        context.run_one();
+    }
+    return bytes;
+}
+
 /// Server that answers one connection byte by byte, and closes after many of them.
 class trickling_server
 {
@@ -102,6 +139,19 @@
     CHECK(streamed.body == "one two");
 }
 
+// The head and the text of the error went into the middle of the stream.
+TEST_CASE("a response given while another has begun closes the connection")
+{
+    for (const auto *target : {"/broken-stream", "/two-responses"}) {
+        const auto bytes = bytesOf(target);
+        CHECK(bytes.starts_with("HTTP/1.1 200 OK"));
+        CHECK(bytes.find("502") == std::string::npos);
+        CHECK(bytes.find("error") == std::string::npos);
+        CHECK(bytes.find("two") == std::string::npos);
+        CHECK(bytes.find("\r\n0\r\n") == std::string::npos);
+    }
+}
+
 TEST_CASE("an oversize body and an oversize header are refused with a status")
 {
     const auto body = exchange({.bodyBytes = 10},
