Forwarding: a resumed stream with missing events is not completed

Callers found events missing in the middle of a stream, or a stream that broke off ended as if it were complete.

Cause: a run that resumed a stream was trusted as it was. One that began behind the next event left a gap, and one that ended without a further event, such as an empty answer, completed the stream. Events without an id went into the stream while the server still repeated old ones; and a stream whose events have no ids was resumed from its start, so that they came twice.

Change: the first new event of a resumed run may not be further from the last delivered one than events of a run were before. If it is, or if none comes, the run is replaced where the route allows it, or the stream is aborted. Events without an id wait until the resumed run has continued the stream, and a stream without ids is not resumed.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -404,11 +404,21 @@
         m_quarantine.onRunProgress(*request, false);
         std::string bytes;
         for (auto &event : advanced.events) {
-            if (event.id && *event.id <= request->lastEvent) {
+            const auto repeated
+                = event.id ? *event.id <= request->lastEvent : request->awaitsContinuation();
+            if (repeated) {
                 continue;
             }
+            const auto idStep = event.id ? *event.id - request->lastEvent : 0;
+            if (!request->awaitsContinuation()) {
+                request->longestIdStep = std::max(request->longestIdStep, idStep);
+            } else if (idStep > request->longestIdStep) {
+                onUnusableContinuation(*request, "missing_events");
+                return;
+            }
             request->lastEvent = event.id.value_or(request->lastEvent);
             ++request->eventsDelivered;
+            ++request->run.forwardedEvents;
             bytes += event.bytes;
         }
         if (!bytes.empty()) {
@@ -435,6 +445,10 @@
             return;
         }
         m_mover.abandon(*request);
+        if (request->awaitsContinuation()) {
+            onUnusableContinuation(*request, "no_events");
+            return;
+        }
         endExchange(*request);
         m_quarantine.onRunProgress(*request, request->run.events > 0);
         m_servers.onOutcome(*request, true);
@@ -449,6 +463,16 @@
         toCaller(*request, end_response_stream{.callerId = request->callerId});
         close(*request);
     }
+    /// Handles a run that does not continue the stream of the one before it: events in between are
+    /// missing, or it ended without any. Whether the stream is complete is unknown.
+    auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
+    {
+        cancelExchange(request);
+        m_servers.onOutcome(request, false);
+        if (!mayRetry(request) || !retry(request, cause)) {
+            abortStream(request, failure::backend_server_failed);
+        }
+    }
     auto on(const exchange_failed &failed) -> void
     {
         auto *request = findByExchange(failed.exchangeId);
@@ -533,8 +557,11 @@
     auto mayRetry(const request_state &request) const -> bool
     {
         const auto kind = request.route->kind;
-        const auto allowed = kind == work_kind::repeatable
-                             || (kind == work_kind::generation && request.route->resumable);
+        // Events without an id would be delivered twice.
+        const auto canResume = request.lastEvent > 0 || request.eventsDelivered == 0;
+        const auto allowed
+            = kind == work_kind::repeatable
+              || (kind == work_kind::generation && request.route->resumable && canResume);
         return allowed && request.attempts < request.route->attempts
                && request.sends < m_options.maxSends && request.callerId != 0;
     }
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -76,6 +76,8 @@
     /// that the run does not crash servers.
     std::uint64_t events = 0;
     bool survivedStart = false;
+    /// Events of this run that were forwarded.
+    std::uint64_t forwardedEvents = 0;
 };
 
 /// State of asking reporters for room.
@@ -133,6 +135,8 @@
     bool streamStarted = false;
     std::uint64_t lastEvent = 0;
     std::uint64_t eventsDelivered = 0;
+    /// Largest distance between the ids of two successive events of a run.
+    std::uint64_t longestIdStep = 0;
     std::uint32_t moves = 0;
     time_us lastEventAt;
     /// Longest time between two events, and time from opening to the first.
@@ -140,6 +144,11 @@
     std::int64_t firstEventUs = 0;
 
     auto isGeneration() const -> bool { return route->kind == work_kind::generation; }
+    /// Whether the current run continues the stream of an earlier one and has not added to it yet.
+    auto awaitsContinuation() const -> bool
+    {
+        return eventsDelivered > 0 && run.forwardedEvents == 0;
+    }
     auto engine() const -> const engine_traits *
     {
         return pool && pool->engine ? &*pool->engine : nullptr;
