--- a/src/forwarding/completionforecast.h
+++ b/src/forwarding/completionforecast.h
@@ -69,7 +69,7 @@
             return request.deadline;
         }
         auto &seen = seenOf(*request.pool);
-        auto us = slowest(seen.answerUs, request.route->latencyTargetMs * US_PER_MS, now);
+        auto us = slowest(seen.answerUs, toUs(request.route->latencyTargetMs), now);
         if (request.isGeneration()) {
             const auto tokensLeft = maxTokens - std::min(maxTokens, request.producedTokens());
             us += tokensLeft * slowest(seen.usPerToken, m_options.initialUsPerToken, now);
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -267,7 +267,7 @@
             .resumeFrom = copy});
         if (request.route->kind == work_kind::repeatable && request.route->attempts > 1) {
             const auto us = m_options.hedgeAfterTargets
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(toUs(request.route->latencyTargetMs));
             m_timers.set({timer_kind::hedge, request.number}, now + static_cast<std::int64_t>(us));
         }
     }
@@ -458,11 +458,21 @@
         m_quarantine.onRunProgress(*request, false);
         std::string bytes;
         for (auto &event : advanced.events) {
-            if (event.id && *event.id <= request->lastEvent) {
+            const auto repeated
+                = event.id ? *event.id <= request->lastEvent : request->awaitsContinuation();
+            if (repeated) {
                 continue;
             }
+            const auto idStep = event.id ? *event.id - request->lastEvent : 0;
+            if (!request->awaitsContinuation()) {
+                request->longestIdStep = std::max(request->longestIdStep, idStep);
+            } else if (idStep > request->longestIdStep) {
+                onUnusableContinuation(*request, "missing_events");
+                return;
+            }
             request->lastEvent = event.id.value_or(request->lastEvent);
             ++request->eventsDelivered;
+            ++request->run.forwardedEvents;
             bytes += event.bytes;
         }
         if (!bytes.empty()) {
@@ -492,6 +502,10 @@
             return;
         }
         m_mover.abandon(*request);
+        if (request->awaitsContinuation()) {
+            onUnusableContinuation(*request, "no_events");
+            return;
+        }
         endExchange(*request);
         m_quarantine.onRunProgress(*request, request->run.events > 0);
         m_servers.onOutcome(*request, true);
@@ -506,6 +520,16 @@
         toCaller(*request, end_response_stream{.callerId = request->callerId});
         close(*request);
     }
+    /// Handles a run that does not continue the stream of the one before it: events in between are
+    /// missing, or it ended without any. Whether the stream is complete is unknown.
+    auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
+    {
+        cancelExchange(request);
+        m_servers.onOutcome(request, false);
+        if (!mayRetry(request) || !retry(request, cause)) {
+            abortStream(request, failure::backend_server_failed);
+        }
+    }
     auto on(const exchange_failed &failed) -> void
     {
         auto *request = findByExchange(failed.exchangeId);
@@ -590,8 +614,11 @@
     auto mayRetry(const request_state &request) const -> bool
     {
         const auto kind = request.route->kind;
-        const auto allowed = kind == work_kind::repeatable
-                             || (kind == work_kind::generation && request.route->resumable);
+        // Events without an id would be delivered twice.
+        const auto canResume = request.lastEvent > 0 || request.eventsDelivered == 0;
+        const auto allowed
+            = kind == work_kind::repeatable
+              || (kind == work_kind::generation && request.route->resumable && canResume);
         return allowed && request.attempts < request.route->attempts
                && request.sends < m_options.maxSends && request.callerId != 0;
     }
