HTTP server: discard what a caller still sends after a closing answer

What callers saw: a refusal (413, 431, 400) or an answer with Connection: close that ended in a reset: sending failed, or a long answer broke off. Cause: the connection was closed with unread input (the rest of a body, a pipelined request). Closing such a socket sends a reset, which drops what the kernel has not sent yet and makes a caller that is sending fail. Change: after an answer that closes the connection while the caller may still send, the output is shut down and the input is read and discarded until the caller closes, for at most 2 s and 8 MiB. Measured: of the new tests 'a refusal reaches a caller that is still sending its body' and 'a closing answer reaches a caller that has already sent its next request' failed on the old server and pass.

--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds requestTimeout{10'000};
     std::chrono::milliseconds idleTimeout{60'000};
     std::chrono::milliseconds writeTimeout{30'000};
+    /// Bounds on what is read and discarded after an answer that closes its connection.
+    std::chrono::milliseconds lingerTimeout{2'000};
+    std::uint64_t lingerBytes = 8 * 1024 * 1024;
     std::size_t connections = 12'000;
 };
 
@@ -62,7 +65,7 @@
             m_response.insert(header.name, header.value);
         }
         m_response.body() = std::move(response.body);
-        m_keepAlive = m_keepAlive && !m_server.closing();
+        limitKeepAlive();
         m_response.keep_alive(m_keepAlive);
         m_response.prepare_payload();
         m_stream.expires_after(m_server.limits().writeTimeout);
@@ -83,7 +86,7 @@
         for (const auto &header : headers) {
             m_head.insert(header.name, header.value);
         }
-        m_keepAlive = m_keepAlive && !m_server.closing();
+        limitKeepAlive();
         m_head.keep_alive(m_keepAlive);
         m_head.chunked(true);
         m_serializer.emplace(m_head);
@@ -135,7 +138,13 @@
 
 private:
     static constexpr unsigned HTTP_VERSION = 11;
+    static constexpr std::size_t DISCARD_BYTES = 16 * 1024;
 
+    auto hasArrived() const -> bool
+    {
+        boost::system::error_code ignored;
+        return m_stream.socket().available(ignored) > 0;
+    }
     auto onRequestRead(boost::beast::error_code error) -> void
     {
         namespace http = boost::beast::http;
@@ -164,6 +173,7 @@
     auto refuse(boost::beast::http::status status) -> void
     {
         m_keepAlive = false;
+        m_callerMaySend = true;
         respond(m_server.app().refusal(static_cast<int>(status)));
     }
     auto takeRequest() -> void
@@ -181,13 +191,47 @@
     auto onResponseWritten(boost::beast::error_code error) -> void
     {
         m_writing = false;
-        if (error || !m_keepAlive) {
-            boost::beast::error_code ignored;
-            m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        if (error) {
+            close();
+        } else if (!m_keepAlive) {
+            closeAfterAnswer();
+        } else {
+            readRequest();
+        }
+    }
+    /// Closing with unread input resets the connection, which can destroy the answer on its way.
+    /// So bytes that the caller still sends are discarded until it closes, within bounds.
+    auto closeAfterAnswer() -> void
+    {
+        boost::beast::error_code ignored;
+        m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        if (!m_callerMaySend && !hasArrived()) {
             close();
             return;
         }
-        readRequest();
+        m_buffer.clear();
+        m_stream.expires_after(m_server.limits().lingerTimeout);
+        discard();
+    }
+    auto discard() -> void
+    {
+        m_stream.async_read_some(
+            m_buffer.prepare(DISCARD_BYTES),
+            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t count) {
+                self->m_discarded += count;
+                if (error || self->m_discarded > self->m_server.limits().lingerBytes) {
+                    self->close();
+                } else {
+                    self->discard();
+                }
+            });
+    }
+    auto limitKeepAlive() -> void
+    {
+        if (m_keepAlive && m_server.closing()) {
+            m_keepAlive = false;
+            m_callerMaySend = true;
+        }
     }
     auto flush() -> void
     {
@@ -291,7 +335,10 @@
     std::string m_pending;
     std::string m_inFlight;
     std::uint64_t m_served = 0;
+    std::uint64_t m_discarded = 0;
     bool m_keepAlive = true;
+    /// The caller may send more although the connection closes after the answer.
+    bool m_callerMaySend = false;
     bool m_writing = false;
     /// A request has been read and its answer is not complete.
     bool m_answering = false;
