HTTP server: answer requests that are arriving when idle connections close

What callers saw at a planned stop: a connection that closed without an answer although its request had arrived (whole, half, or on a connection that still waited in the listener's queue), and a long answer to a slow reader that broke off. Outside of stops: a request that began to arrive shortly before the idle time limit was cut by it. Cause: idle meant 'no request has been read whole': closing idle connections dropped a request that was being read; bytes that the event loop had read but not handled were dropped too; the listener's queue was reset; an entry counted as drained with an answer not yet written; one time limit covered the wait for a request and its reading. Change: the wait for the first byte and the reading of the request are two steps with a limit each. Closing idle connections ends only the first; what is arriving is answered if it is read whole within 400 ms and refused with 503 otherwise. The listener's queue is taken before the listener closes. A stream that ends later closes its connection. The server counts requests from their first byte to the last byte of their answer, and an entry is drained when there is none. After the listener has closed the gateway refuses by itself, since the process may end before a decision comes back.

--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -2,6 +2,8 @@
 
 #include "framework/http/httptypes.h"
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,6 +24,8 @@
     std::chrono::milliseconds requestTimeout{10'000};
     std::chrono::milliseconds idleTimeout{60'000};
     std::chrono::milliseconds writeTimeout{30'000};
+    /// Time to read the rest of a request that is arriving when idle connections close.
+    std::chrono::milliseconds lastReadTimeout{400};
     /// Bounds on what is read and discarded after an answer that closes its connection.
     std::chrono::milliseconds lingerTimeout{2'000};
     std::uint64_t lingerBytes = 8 * 1024 * 1024;
@@ -48,9 +52,6 @@
     /// The request being answered.
     auto request() const -> const http_request & { return m_request; }
 
-    /// Whether a request has been read whose answer is not complete.
-    auto answering() const -> bool { return m_answering || m_writing; }
-
     /// Answers the request whole. Precondition: no response has begun.
     auto respond(http_response response) -> void
     {
@@ -122,24 +123,79 @@
         leave();
     }
 
+    /// Waits for the next request. Precondition: no request is being read or answered.
     auto readRequest() -> void
     {
-        m_parser.emplace();
-        m_parser->header_limit(m_server.limits().headerBytes);
-        m_parser->body_limit(m_server.limits().bodyBytes);
+        if (m_buffer.size() > 0) {
+            readMessage();
+            return;
+        }
+        if (m_server.idleClosed() && !hasArrived()) {
+            close();
+            return;
+        }
         m_stream.expires_after(m_served == 0 ? m_server.limits().requestTimeout
                                              : m_server.limits().idleTimeout);
-        boost::beast::http::async_read(
-            m_stream, m_buffer, *m_parser,
-            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
-                self->onRequestRead(error);
+        m_waiting = true;
+        m_stream.async_read_some(
+            m_buffer.prepare(std::max(m_buffer.capacity(), FIRST_READ_BYTES)),
+            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t count) {
+                self->m_waiting = false;
+                self->onFirstBytes(error, count);
             });
     }
+    /// Ends the wait for the next request; one that has arrived is read first.
+    auto closeIfIdle() -> void
+    {
+        if (m_waiting) {
+            m_stream.cancel();
+        }
+    }
+    /// Refuses the request that is being read, if there is one, with 503.
+    auto refuseArriving() -> void
+    {
+        if (m_reading) {
+            m_refused = true;
+            m_stream.cancel();
+        }
+    }
 
 private:
     static constexpr unsigned HTTP_VERSION = 11;
+    static constexpr std::size_t FIRST_READ_BYTES = 512;
     static constexpr std::size_t DISCARD_BYTES = 16 * 1024;
 
+    auto onFirstBytes(boost::beast::error_code error, std::size_t count) -> void
+    {
+        if (error == boost::asio::error::operation_aborted && !m_left) {
+            readRequest();
+        } else if (error) {
+            close();
+        } else {
+            m_buffer.commit(count);
+            readMessage();
+        }
+    }
+    /// Reads the request whose first bytes have arrived.
+    auto readMessage() -> void
+    {
+        setBusy(true);
+        m_reading = true;
+        m_refused = false;
+        m_parser.emplace();
+        m_parser->header_limit(m_server.limits().headerBytes);
+        m_parser->body_limit(m_server.limits().bodyBytes);
+        m_stream.expires_after(m_server.limits().requestTimeout);
+        if (m_server.idleClosed()) {
+            m_server.limitLastReads();
+        }
+        boost::beast::http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
+                self->m_reading = false;
+                self->onRequestRead(error);
+            });
+    }
     auto hasArrived() const -> bool
     {
         boost::system::error_code ignored;
@@ -159,6 +215,10 @@
             refuse(http::status::bad_request);
             return;
         }
+        if (error && m_refused) {
+            refuse(http::status::service_unavailable);
+            return;
+        }
         if (error) {
             close();
             return;
@@ -191,6 +251,7 @@
     auto onResponseWritten(boost::beast::error_code error) -> void
     {
         m_writing = false;
+        setBusy(false);
         if (error) {
             close();
         } else if (!m_keepAlive) {
@@ -233,6 +294,12 @@
             m_callerMaySend = true;
         }
     }
+    auto setBusy(bool busy) -> void
+    {
+        if (std::exchange(m_busy, busy) != busy) {
+            m_server.countBusy(busy);
+        }
+    }
     auto flush() -> void
     {
         if (m_writing || m_left) {
@@ -318,6 +385,7 @@
             return;
         }
         m_left = true;
+        setBusy(false);
         m_server.app().onClosed(*this);
         m_server.forget(m_id);
     }
@@ -339,6 +407,12 @@
     bool m_keepAlive = true;
     /// The caller may send more although the connection closes after the answer.
     bool m_callerMaySend = false;
+    /// A request is being read, or its answer is not written whole.
+    bool m_busy = false;
+    bool m_waiting = false;
+    bool m_reading = false;
+    /// The request that is being read is to be refused.
+    bool m_refused = false;
     bool m_writing = false;
     /// A request has been read and its answer is not complete.
     bool m_answering = false;
@@ -370,6 +444,7 @@
         : m_context(context)
         , m_acceptor(context)
         , m_retryTimer(context)
+        , m_lastReadTimer(context)
         , m_app(app)
         , m_limits(limits)
     { }
@@ -399,11 +474,21 @@
         accept();
         return endpoint{.address = where.address, .port = m_acceptor.local_endpoint().port()};
     }
-    /// Stops accepting; running sessions go on.
+    /// Takes the connections that wait in the listener's queue and stops accepting; running
+    /// sessions go on.
     auto stopListening() -> void
     {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
+        boost::system::error_code error;
+        m_acceptor.cancel(error);
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            boost::asio::ip::tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                startSession(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
     }
 
     /// Bounds for requests that begin from now on.
@@ -411,18 +496,39 @@
     /// From now on each answer closes its connection.
     auto closeAfterAnswers() -> void { m_closing = true; }
     auto closing() const -> bool { return m_closing; }
-    /// Closes the connections on which no request is being answered.
+    /// Closes the connections that are idle, from now on also those that become idle. A request
+    /// that is arriving is answered if it is read whole within `lastReadTimeout`, else refused
+    /// with 503.
     auto closeIdle() -> void
     {
-        std::vector<session_ptr> idle;
-        for (const auto &[id, weak] : m_sessions) {
-            auto session = weak.lock();
-            if (session && !session->answering()) {
-                idle.push_back(std::move(session));
-            }
+        m_idleClosed = true;
+        forEachSession([](http_session<App> &session) { session.closeIfIdle(); });
+        limitLastReads();
+    }
+    /// Called by sessions that read a request after closeIdle().
+    auto limitLastReads() -> void
+    {
+        if (std::exchange(m_lastReadsLimited, true)) {
+            return;
         }
-        for (const auto &session : idle) {
-            session->close();
+        m_lastReadTimer.expires_after(m_limits.lastReadTimeout);
+        m_lastReadTimer.async_wait([this](boost::system::error_code error) {
+            m_lastReadsLimited = false;
+            if (!error) {
+                forEachSession([](http_session<App> &session) { session.refuseArriving(); });
+            }
+        });
+    }
+    auto idleClosed() const -> bool { return m_idleClosed; }
+    /// Number of requests that are being read or whose answer is not written whole. Thread safe.
+    auto busy() const -> std::size_t { return m_busy.load(std::memory_order_relaxed); }
+    /// Called by sessions that begin or end such a request.
+    auto countBusy(bool begins) -> void
+    {
+        if (begins) {
+            m_busy.fetch_add(1, std::memory_order_relaxed);
+        } else {
+            m_busy.fetch_sub(1, std::memory_order_relaxed);
         }
     }
 
@@ -458,15 +564,35 @@
             acceptLater();
             return;
         }
-        if (m_sessions.size() < m_limits.connections) {
-            boost::system::error_code ignored;
-            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            const auto id = ++m_lastId;
-            auto session = std::make_shared<http_session<App>>(*this, std::move(socket), id);
-            m_sessions.emplace(id, session);
-            session->readRequest();
+        startSession(std::move(socket));
+        if (m_acceptor.is_open()) {
+            accept();
+        }
+    }
+    auto startSession(boost::asio::ip::tcp::socket socket) -> void
+    {
+        if (m_sessions.size() >= m_limits.connections) {
+            return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        const auto id = ++m_lastId;
+        auto session = std::make_shared<http_session<App>>(*this, std::move(socket), id);
+        m_sessions.emplace(id, session);
+        session->readRequest();
+    }
+    template <typename Do>
+    auto forEachSession(Do &&apply) -> void
+    {
+        std::vector<session_ptr> sessions;
+        for (const auto &[id, weak] : m_sessions) {
+            if (auto session = weak.lock()) {
+                sessions.push_back(std::move(session));
+            }
+        }
+        for (const auto &session : sessions) {
+            apply(*session);
         }
-        accept();
     }
     // Out of descriptors: accepting at once would spin.
     auto acceptLater() -> void
@@ -482,10 +608,14 @@
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
+    boost::asio::steady_timer m_lastReadTimer;
     App &m_app;
     http_limits m_limits;
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
+    bool m_idleClosed = false;
+    bool m_lastReadsLimited = false;
+    std::atomic<std::size_t> m_busy{0};
     std::unordered_map<std::uint64_t, std::weak_ptr<http_session<App>>> m_sessions;
 };
 
--- a/src/framework/http/tests/servershutdowntests.cpp
+++ b/src/framework/http/tests/servershutdowntests.cpp
@@ -158,3 +158,118 @@
     CHECK(site.received.size() > LARGE_BYTES);
     CHECK(site.app.requests == 1);
 }
+
+// Connections without a request that was read whole were closed at once at a planned stop.
+TEST_CASE("a request that is half read when idle connections close is answered")
+{
+    test_site site({});
+    site.send(post("/", 10) + "hello");
+    site.runUntil([&] { return site.server.busy() > 0; });
+    site.server.closeAfterAnswers();
+    site.server.stopListening();
+    site.server.closeIdle();
+    site.send("world");
+    CHECK(site.runUntil([&] { return site.ended(); }));
+    CHECK(site.received.find("HTTP/1.1 200") == 0);
+    CHECK(site.received.find("helloworld") != std::string::npos);
+    CHECK(site.received.find("Connection: close") != std::string::npos);
+    CHECK(site.server.busy() == 0);
+}
+
+TEST_CASE("a request that stays half read when idle connections close is refused")
+{
+    test_site site({.lastReadTimeout = std::chrono::milliseconds(20)});
+    site.send(post("/", 10) + "hello");
+    site.runUntil([&] { return site.server.busy() > 0; });
+    site.server.closeAfterAnswers();
+    site.server.closeIdle();
+    CHECK(site.runUntil([&] { return site.receivedText("HTTP/1.1 503"); }));
+    site.send("world");
+    CHECK(site.runUntil([&] { return site.ended(); }));
+    CHECK(site.receiveError == boost::asio::error::eof);
+    CHECK(site.app.requests == 0);
+}
+
+// Bytes that have arrived but were not read yet do not make a connection idle.
+TEST_CASE("a request that has arrived unread when idle connections close is answered")
+{
+    test_site site({});
+    site.runUntil([&] { return site.server.connections() == 1; });
+    const auto request = post("/", 5) + "hello";
+    boost::system::error_code error;
+    site.client.write_some(boost::asio::buffer(request), error);
+    site.server.closeAfterAnswers();
+    site.server.closeIdle();
+    CHECK(site.runUntil([&] { return site.ended(); }));
+    CHECK(site.received.find("HTTP/1.1 200") == 0);
+}
+
+// Connections that the kernel had accepted were reset with the listener.
+TEST_CASE("a connection in the listener's queue is answered when the listener closes")
+{
+    test_site site({});
+    const auto request = post("/", 5) + "hello";
+    boost::system::error_code error;
+    site.client.write_some(boost::asio::buffer(request), error);
+    site.server.closeAfterAnswers();
+    site.server.stopListening();
+    site.server.closeIdle();
+    CHECK(site.runUntil([&] { return site.ended(); }));
+    CHECK(site.receiveError == boost::asio::error::eof);
+    CHECK(site.received.find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("an idle connection closes when idle connections close")
+{
+    test_site site({});
+    site.send(post("/", 5) + "hello");
+    CHECK(site.runUntil([&] { return site.receivedText("hello"); }));
+    CHECK(!site.ended());
+    site.server.closeIdle();
+    CHECK(site.runUntil([&] { return site.ended(); }));
+}
+
+// A stream that began before the stop promised to keep its connection, which then stayed open
+// until the process ended.
+TEST_CASE("a stream that ends after idle connections closed closes its connection")
+{
+    test_site site({});
+    site.send(post("/stream", 0));
+    CHECK(site.runUntil([&] { return site.receivedText("one"); }));
+    site.server.closeAfterAnswers();
+    site.server.stopListening();
+    site.server.closeIdle();
+    CHECK(!site.ended());
+    site.app.streaming->finishStream();
+    CHECK(site.runUntil([&] { return site.ended(); }));
+    CHECK(site.received.ends_with("\r\n0\r\n\r\n"));
+    CHECK(site.server.busy() == 0);
+}
+
+// The idle time limit ran on while a request was arriving, and closed the connection unanswered.
+TEST_CASE("the idle time limit does not cut a request that is arriving")
+{
+    test_site site({.idleTimeout = std::chrono::milliseconds(60)});
+    site.send(post("/", 5) + "first");
+    CHECK(site.runUntil([&] { return site.receivedText("first"); }));
+    site.send(post("/", 6) + "sec");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+    while (std::chrono::steady_clock::now() < end) {
+        site.context.run_one_for(std::chrono::milliseconds(5));
+    }
+    site.send("ond");
+    CHECK(site.runUntil([&] { return site.receivedText("second"); }));
+}
+
+// The process ended once no request was open, with an answer still on its way to a slow reader.
+TEST_CASE("an answer that is still being written counts as busy")
+{
+    test_site site({});
+    site.send(post("/large", 0));
+    CHECK(site.runUntil([&] { return site.app.requests == 1; }));
+    CHECK(site.server.busy() == 1);
+    CHECK(site.runUntil([&] {
+        site.ended();
+        return site.received.size() > LARGE_BYTES && site.server.busy() == 0;
+    }));
+}
--- a/src/gateway/gatewayduty.h
+++ b/src/gateway/gatewayduty.h
@@ -50,11 +50,17 @@
         m_worker.start();
     }
     auto stop() -> void { m_worker.stop(); }
+    /// Number of requests that are being read or whose answer is not written whole. Thread safe.
+    auto busy() const -> std::size_t { return m_server.busy(); }
 
     // --- called by the HTTP server on the duty's thread
 
     auto onRequest(const session_ptr &from) -> void
     {
+        if (m_server.idleClosed()) {
+            refuse(from, failure::draining);
+            return;
+        }
         auto decoded = Codec::decode(from->request(), from->id());
         if (!decoded) {
             refuse(from, static_cast<failure>(decoded.error().value()));
@@ -67,7 +73,12 @@
     }
     auto onDrained(session &) -> void { }
     auto onClosed(session &from) -> void { m_events.push(forward_caller_disconnected{from.id()}); }
-    auto refusal(int status) -> http_response { return {.status = status, .contentType = {}}; }
+    auto refusal(int status) -> http_response
+    {
+        constexpr int UNAVAILABLE = 503;
+        return status == UNAVAILABLE ? Codec::encode(send_failure{.reason = failure::draining})
+                                     : http_response{.status = status, .contentType = {}};
+    }
 
     // --- called by the ring reader on the duty's thread
 
