Clock: count the time for which the machine is suspended

What callers saw: after a suspension of an entry's machine its deadlines, graces and ages of reports were counted on as if no time had passed. Cause: std::chrono::steady_clock does not count suspended time. Change: system_clock_source::now() reads CLOCK_BOOTTIME. Timers that were set to time points of the steady clock are set to the time that is left. Measured: no test suspends a machine; all tests pass on the new clock, those of the cores in virtual time.

--- a/src/agent/internal/admissionduty.cpp
+++ b/src/agent/internal/admissionduty.cpp
@@ -13,11 +13,6 @@
 
 constexpr std::size_t BACKLOG_LIMIT = 1 << 20;
 
-auto toTimePoint(time_us time) -> std::chrono::steady_clock::time_point
-{
-    return std::chrono::steady_clock::time_point(std::chrono::microseconds(time.value));
-}
-
 } // namespace
 
 struct admission_duty::impl
@@ -334,7 +329,7 @@
             return;
         }
         timerDue = next;
-        timer.expires_at(toTimePoint(*next));
+        timer.expires_after(durationUntil(*next, clock.now()));
         timer.async_wait([this](boost::system::error_code error) {
             if (error) {
                 return;
--- a/src/configuration/internal/configurationduty.cpp
+++ b/src/configuration/internal/configurationduty.cpp
@@ -257,8 +257,7 @@
 
     auto scheduleTimer() -> void
     {
-        timer.expires_at(std::chrono::steady_clock::time_point(
-            std::chrono::microseconds(core.nextTimer().value)));
+        timer.expires_after(durationUntil(core.nextTimer(), clock.now()));
         timer.async_wait([this](boost::system::error_code error) {
             if (error) {
                 return;
--- a/src/entry/internal/dispatchduty.cpp
+++ b/src/entry/internal/dispatchduty.cpp
@@ -170,8 +170,7 @@
             return;
         }
         timerDue = next;
-        timer.expires_at(
-            std::chrono::steady_clock::time_point(std::chrono::microseconds(next->value)));
+        timer.expires_after(durationUntil(*next, clock.now()));
         timer.async_wait([this](boost::system::error_code error) {
             if (error) {
                 return;
--- a/src/framework/global/clock.h
+++ b/src/framework/global/clock.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <concepts>
 #include <cstdint>
+#include <ctime>
 
 namespace marjoram {
 
@@ -17,10 +19,17 @@
     friend auto operator-(time_us a, time_us b) -> std::int64_t { return a.value - b.value; }
 };
 
+inline constexpr std::int64_t NS_PER_US = 1'000;
 inline constexpr std::int64_t US_PER_MS = 1'000;
 inline constexpr std::int64_t US_PER_SECOND = 1'000'000;
 inline constexpr std::int64_t MS_PER_SECOND = 1'000;
 
+/// Time from `now` until `when`; zero if that is in the past.
+inline auto durationUntil(time_us when, time_us now) -> std::chrono::microseconds
+{
+    return std::chrono::microseconds(std::max<std::int64_t>(0, when - now));
+}
+
 /// Source of monotonic and wall-clock time for decision code.
 template <typename C>
 concept clock_source = requires(const C &clock)
@@ -33,14 +42,16 @@
         } -> std::same_as<std::int64_t>;
 };
 
-/// The machine's clocks. Thread safe.
+/// The machine's clocks. Monotonic time goes on while the machine is suspended, which the time of
+/// std::chrono::steady_clock does not: time points of the two cannot be mixed. Thread safe.
 class system_clock_source
 {
 public:
     auto now() const -> time_us
     {
-        const auto since = std::chrono::steady_clock::now().time_since_epoch();
-        return {std::chrono::duration_cast<std::chrono::microseconds>(since).count()};
+        timespec since{};
+        ::clock_gettime(CLOCK_BOOTTIME, &since);
+        return {since.tv_sec * US_PER_SECOND + since.tv_nsec / NS_PER_US};
     }
     auto unixMs() const -> std::int64_t
     {
