Forwarding: do not send a request whose deadline passed in a pause

What callers saw: nothing any more; backend servers received requests that nobody waited for. Cause: after a pause of the process (SIGSTOP, suspended machine) replies and retries that were waiting are handled before the timer of the deadline. Change: the placer does not send or ask for room once the deadline has passed; the deadline's timer, which is due, ends the request.

--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -76,7 +76,7 @@
         auto &roomRequest = request->roomRequest;
         roomRequest.lastVerdict = replied.verdict;
         m_host.observe(latency_kind::room_request, m_clock.now() - roomRequest.askedAt);
-        if (replied.verdict == room_verdict::granted) {
+        if (replied.verdict == room_verdict::granted && !isExpired(*request)) {
             m_host.send(*request, std::string(roomRequest.serverId), endpoint(roomRequest.server),
                         std::nullopt);
             return;
@@ -164,10 +164,19 @@
             -> std::strong_ordering = default;
     };
 
+    /// After a pause of the process other events can come before the timer of the deadline, which
+    /// ends the request: it must not be sent any more.
+    auto isExpired(const request_state &request) const -> bool
+    {
+        return request.deadline <= m_clock.now();
+    }
     /// Sends the request or asks a reporter for room. Returns false if no server seems to have
     /// room.
     auto place(request_state &request) -> bool
     {
+        if (isExpired(request)) {
+            return true;
+        }
         auto &roomRequest = request.roomRequest;
         const auto *view = request.pool && roomRequest.count < m_options.maxRoomRequests
                                ? chooseServer(request, false)
