--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -2,6 +2,8 @@
 
 #include "framework/http/httptypes.h"
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,6 +24,11 @@
     std::chrono::milliseconds requestTimeout{10'000};
     std::chrono::milliseconds idleTimeout{60'000};
     std::chrono::milliseconds writeTimeout{30'000};
+    /// Time to read the rest of a request that is arriving when idle connections close.
+    std::chrono::milliseconds lastReadTimeout{400};
+    /// Bounds on what is read and discarded after an answer that closes its connection.
+    std::chrono::milliseconds lingerTimeout{2'000};
+    std::uint64_t lingerBytes = 8 * 1024 * 1024;
     std::size_t connections = 12'000;
 };
 
@@ -45,9 +52,6 @@
     /// The request being answered.
     auto request() const -> const http_request & { return m_request; }
 
-    /// Whether a request has been read whose answer is not complete.
-    auto answering() const -> bool { return m_answering || m_writing; }
-
     /// Answers the request whole. If a response has begun, closes the connection instead, so that
     /// nothing is mixed into that response.
     auto respond(http_response response) -> void
@@ -67,7 +71,7 @@
             m_response.insert(header.name, header.value);
         }
         m_response.body() = std::move(response.body);
-        m_keepAlive = m_keepAlive && !m_server.closing();
+        limitKeepAlive();
         m_response.keep_alive(m_keepAlive);
         m_response.prepare_payload();
         m_stream.expires_after(m_server.limits().writeTimeout);
@@ -93,7 +97,7 @@
         for (const auto &header : headers) {
             m_head.insert(header.name, header.value);
         }
-        m_keepAlive = m_keepAlive && !m_server.closing();
+        limitKeepAlive();
         m_head.keep_alive(m_keepAlive);
         m_head.chunked(true);
         m_serializer.emplace(m_head);
@@ -135,23 +139,84 @@
         leave();
     }
 
+    /// Waits for the next request. Precondition: no request is being read or answered.
     auto readRequest() -> void
     {
+        if (m_buffer.size() > 0) {
+            readMessage();
+            return;
+        }
+        if (m_server.idleClosed() && !hasArrived()) {
+            close();
+            return;
+        }
+        m_stream.expires_after(m_served == 0 ? m_server.limits().requestTimeout
+                                             : m_server.limits().idleTimeout);
+        m_waiting = true;
+        m_stream.async_read_some(
+            m_buffer.prepare(std::max(m_buffer.capacity(), FIRST_READ_BYTES)),
+            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t count) {
+                self->m_waiting = false;
+                self->onFirstBytes(error, count);
+            });
+    }
+    /// Ends the wait for the next request; one that has arrived is read first.
+    auto closeIfIdle() -> void
+    {
+        if (m_waiting) {
+            m_stream.cancel();
+        }
+    }
+    /// Refuses the request that is being read, if there is one, with 503.
+    auto refuseArriving() -> void
+    {
+        if (m_reading) {
+            m_refused = true;
+            m_stream.cancel();
+        }
+    }
+
+private:
+    static constexpr unsigned HTTP_VERSION = 11;
+    static constexpr std::size_t FIRST_READ_BYTES = 512;
+    static constexpr std::size_t DISCARD_BYTES = 16 * 1024;
+
+    auto onFirstBytes(boost::beast::error_code error, std::size_t count) -> void
+    {
+        if (error == boost::asio::error::operation_aborted && !m_left) {
+            readRequest();
+        } else if (error) {
+            close();
+        } else {
+            m_buffer.commit(count);
+            readMessage();
+        }
+    }
+    /// Reads the request whose first bytes have arrived.
+    auto readMessage() -> void
+    {
+        setBusy(true);
+        m_reading = true;
+        m_refused = false;
         m_parser.emplace();
         m_parser->header_limit(m_server.limits().headerBytes);
         m_parser->body_limit(m_server.limits().bodyBytes);
-        m_stream.expires_after(m_served == 0 ? m_server.limits().requestTimeout
-                                             : m_server.limits().idleTimeout);
+        m_stream.expires_after(m_server.limits().requestTimeout);
+        if (m_server.idleClosed()) {
+            m_server.limitLastReads();
+        }
         boost::beast::http::async_read(
             m_stream, m_buffer, *m_parser,
             [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
+                self->m_reading = false;
                 self->onRequestRead(error);
             });
     }
-
-private:
-    static constexpr unsigned HTTP_VERSION = 11;
-
+    auto hasArrived() const -> bool
+    {
+        boost::system::error_code ignored;
+        return m_stream.socket().available(ignored) > 0;
+    }
     auto onRequestRead(boost::beast::error_code error) -> void
     {
         namespace http = boost::beast::http;
@@ -166,6 +231,10 @@
             refuse(http::status::bad_request);
             return;
         }
+        if (error && m_refused) {
+            refuse(http::status::service_unavailable);
+            return;
+        }
         if (error) {
             close();
             return;
@@ -180,6 +249,7 @@
     auto refuse(boost::beast::http::status status) -> void
     {
         m_keepAlive = false;
+        m_callerMaySend = true;
         respond(m_server.app().refusal(static_cast<int>(status)));
     }
     auto takeRequest() -> void
@@ -198,13 +268,54 @@
     {
         m_writing = false;
         m_streaming = false;
-        if (error || !m_keepAlive) {
-            boost::beast::error_code ignored;
-            m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        setBusy(false);
+        if (error) {
+            close();
+        } else if (!m_keepAlive) {
+            closeAfterAnswer();
+        } else {
+            readRequest();
+        }
+    }
+    /// Closing with unread input resets the connection, which can destroy the answer on its way.
+    /// So bytes that the caller still sends are discarded until it closes, within bounds.
+    auto closeAfterAnswer() -> void
+    {
+        boost::beast::error_code ignored;
+        m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        if (!m_callerMaySend && !hasArrived()) {
             close();
             return;
         }
-        readRequest();
+        m_buffer.clear();
+        m_stream.expires_after(m_server.limits().lingerTimeout);
+        discard();
+    }
+    auto discard() -> void
+    {
+        m_stream.async_read_some(
+            m_buffer.prepare(DISCARD_BYTES),
+            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t count) {
+                self->m_discarded += count;
+                if (error || self->m_discarded > self->m_server.limits().lingerBytes) {
+                    self->close();
+                } else {
+                    self->discard();
+                }
+            });
+    }
+    auto limitKeepAlive() -> void
+    {
+        if (m_keepAlive && m_server.closing()) {
+            m_keepAlive = false;
+            m_callerMaySend = true;
+        }
+    }
+    auto setBusy(bool busy) -> void
+    {
+        if (std::exchange(m_busy, busy) != busy) {
+            m_server.countBusy(busy);
+        }
     }
     auto flush() -> void
     {
@@ -291,6 +402,7 @@
             return;
         }
         m_left = true;
+        setBusy(false);
         m_server.app().onClosed(*this);
         m_server.forget(m_id);
     }
@@ -308,7 +420,16 @@
     std::string m_pending;
     std::string m_inFlight;
     std::uint64_t m_served = 0;
+    std::uint64_t m_discarded = 0;
     bool m_keepAlive = true;
+    /// The caller may send more although the connection closes after the answer.
+    bool m_callerMaySend = false;
+    /// A request is being read, or its answer is not written whole.
+    bool m_busy = false;
+    bool m_waiting = false;
+    bool m_reading = false;
+    /// The request that is being read is to be refused.
+    bool m_refused = false;
     bool m_writing = false;
     /// A request has been read and its answer is not complete.
     bool m_answering = false;
@@ -342,6 +463,7 @@
         : m_context(context)
         , m_acceptor(context)
         , m_retryTimer(context)
+        , m_lastReadTimer(context)
         , m_app(app)
         , m_limits(limits)
     { }
@@ -371,11 +493,21 @@
         accept();
         return endpoint{.address = where.address, .port = m_acceptor.local_endpoint().port()};
     }
-    /// Stops accepting; running sessions go on.
+    /// Takes the connections that wait in the listener's queue and stops accepting; running
+    /// sessions go on.
     auto stopListening() -> void
     {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
+        boost::system::error_code error;
+        m_acceptor.cancel(error);
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            boost::asio::ip::tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                startSession(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
     }
 
     /// Bounds for requests that begin from now on.
@@ -383,18 +515,39 @@
     /// From now on each answer closes its connection.
     auto closeAfterAnswers() -> void { m_closing = true; }
     auto closing() const -> bool { return m_closing; }
-    /// Closes the connections on which no request is being answered.
+    /// Closes the connections that are idle, from now on also those that become idle. A request
+    /// that is arriving is answered if it is read whole within `lastReadTimeout`, else refused
+    /// with 503.
     auto closeIdle() -> void
     {
-        std::vector<session_ptr> idle;
-        for (const auto &[id, weak] : m_sessions) {
-            auto session = weak.lock();
-            if (session && !session->answering()) {
-                idle.push_back(std::move(session));
-            }
+        m_idleClosed = true;
+        forEachSession([](http_session<App> &session) { session.closeIfIdle(); });
+        limitLastReads();
+    }
+    /// Called by sessions that read a request after closeIdle().
+    auto limitLastReads() -> void
+    {
+        if (std::exchange(m_lastReadsLimited, true)) {
+            return;
         }
-        for (const auto &session : idle) {
-            session->close();
+        m_lastReadTimer.expires_after(m_limits.lastReadTimeout);
+        m_lastReadTimer.async_wait([this](boost::system::error_code error) {
+            m_lastReadsLimited = false;
+            if (!error) {
+                forEachSession([](http_session<App> &session) { session.refuseArriving(); });
+            }
+        });
+    }
+    auto idleClosed() const -> bool { return m_idleClosed; }
+    /// Number of requests that are being read or whose answer is not written whole. Thread safe.
+    auto busy() const -> std::size_t { return m_busy.load(std::memory_order_relaxed); }
+    /// Called by sessions that begin or end such a request.
+    auto countBusy(bool begins) -> void
+    {
+        if (begins) {
+            m_busy.fetch_add(1, std::memory_order_relaxed);
+        } else {
+            m_busy.fetch_sub(1, std::memory_order_relaxed);
         }
     }
 
@@ -430,15 +583,35 @@
             acceptLater();
             return;
         }
-        if (m_sessions.size() < m_limits.connections) {
-            boost::system::error_code ignored;
-            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            const auto id = ++m_lastId;
-            auto session = std::make_shared<http_session<App>>(*this, std::move(socket), id);
-            m_sessions.emplace(id, session);
-            session->readRequest();
+        startSession(std::move(socket));
+        if (m_acceptor.is_open()) {
+            accept();
+        }
+    }
+    auto startSession(boost::asio::ip::tcp::socket socket) -> void
+    {
+        if (m_sessions.size() >= m_limits.connections) {
+            return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        const auto id = ++m_lastId;
+        auto session = std::make_shared<http_session<App>>(*this, std::move(socket), id);
+        m_sessions.emplace(id, session);
+        session->readRequest();
+    }
+    template <typename Do>
+    auto forEachSession(Do &&apply) -> void
+    {
+        std::vector<session_ptr> sessions;
+        for (const auto &[id, weak] : m_sessions) {
+            if (auto session = weak.lock()) {
+                sessions.push_back(std::move(session));
+            }
+        }
+        for (const auto &session : sessions) {
+            apply(*session);
         }
-        accept();
     }
     // Out of descriptors: accepting at once would spin.
     auto acceptLater() -> void
@@ -454,10 +627,14 @@
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
+    boost::asio::steady_timer m_lastReadTimer;
     App &m_app;
     http_limits m_limits;
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
+    bool m_idleClosed = false;
+    bool m_lastReadsLimited = false;
+    std::atomic<std::size_t> m_busy{0};
     std::unordered_map<std::uint64_t, std::weak_ptr<http_session<App>>> m_sessions;
 };
 
