Log answers of the directory service that do not continue the known history

An entry kept serving with a configuration older than one acknowledged after the store had come back from a copy, and its log showed only dependency_lost and dependency_regained. Three explanations fit: the answer with the newer version never came, it came and was dropped, or it was read as invalid.

The store's generation is decoded with each answer. directory_history tells that an answer belongs to another generation, or that its revision went back; configuration_outdated that a configuration older than the one in force was read. What is believed does not change.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -96,15 +96,16 @@
         m_servers.onPage(std::move(page));
         scheduleTimer();
     }
-    auto onChanges(std::vector<published<configuration_text>> changes, std::uint64_t revision)
-        -> void
+    auto onChanges(std::vector<published<configuration_text>> changes,
+                   const history_position &position) -> void
     {
-        m_configuration.onChanges(std::move(changes), revision);
+        m_configuration.onChanges(std::move(changes), position.revision, position.generation);
         scheduleTimer();
     }
-    auto onChanges(std::vector<published<server_entry>> changes, std::uint64_t revision) -> void
+    auto onChanges(std::vector<published<server_entry>> changes, const history_position &position)
+        -> void
     {
-        m_servers.onChanges(std::move(changes), revision);
+        m_servers.onChanges(std::move(changes), position.revision, position.generation);
         scheduleTimer();
     }
     auto onCompacted(feed_kind kind) -> void
@@ -138,6 +139,11 @@
         }
         auto onServiceLost() -> void { duty.onServiceState(kind, true); }
         auto onServiceRegained() -> void { duty.onServiceState(kind, false); }
+        auto onHistory(history_order order, const history_position &known,
+                       const history_position &answered) -> void
+        {
+            duty.onHistory(kind, order, known, answered);
+        }
     };
     struct configuration_sink : feed_sink
     {
@@ -172,6 +178,11 @@
             return;
         }
         if (m_table && content->version <= m_table->version()) {
+            if (content->version < m_table->version()) {
+                m_log.write(log_event::configuration_outdated,
+                            {{"version", static_cast<std::int64_t>(content->version)},
+                             {"in_force", static_cast<std::int64_t>(m_table->version())}});
+            }
             return;
         }
         m_table = std::make_shared<const route_table>(std::move(*content));
@@ -214,6 +225,21 @@
                      {"feed", std::string(nameOf(kind))},
                      {"error", lost ? m_lastError.message() : std::string()}});
     }
+    auto onHistory(feed_kind kind, history_order order, const history_position &known,
+                   const history_position &answered) -> void
+    {
+        constexpr std::int64_t UNKNOWN = -1;
+        const auto generationOf = [](const history_position &position) {
+            return position.generation ? static_cast<std::int64_t>(*position.generation) : UNKNOWN;
+        };
+        m_log.write(log_event::directory_history,
+                    {{"feed", std::string(nameOf(kind))},
+                     {"order", std::string(nameOf(order))},
+                     {"generation", generationOf(answered)},
+                     {"known_generation", generationOf(known)},
+                     {"revision", static_cast<std::int64_t>(answered.revision)},
+                     {"known_revision", static_cast<std::int64_t>(known.revision)}});
+    }
     auto publish(directory_event event) -> void
     {
         if (m_events.push(std::move(event))) {
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "framework/global/clock.h"
+#include "framework/global/enumnames.h"
 #include "framework/global/identifiers.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +13,43 @@
 
 namespace marjoram {
 
+/// Point in the history of the directory service.
+struct history_position
+{
+    /// Rises each time the service comes back from an older copy of its data: revisions go back and
+    /// are given out again. Empty if the service does not state it.
+    std::optional<std::uint64_t> generation;
+    std::uint64_t revision = 0;
+};
+
+/// How the position of an answer compares with the known one.
+enum class history_order { current, restored, outdated };
+inline constexpr std::array historyOrderNames{
+    enum_name<history_order>{history_order::current, "current"},
+    enum_name<history_order>{history_order::restored, "restored"},
+    enum_name<history_order>{history_order::outdated, "outdated"},
+};
+constexpr auto namesOf(history_order) -> const auto &
+{
+    return historyOrderNames;
+}
+
+/// Compares the position of an answer with the known one. Without a generation, a revision that
+/// went back means that the service was restored.
+inline auto compareHistory(const history_position &known, const history_position &answered)
+    -> history_order
+{
+    if (known.generation && answered.generation) {
+        if (answered.generation != known.generation) {
+            return answered.generation > known.generation ? history_order::restored
+                                                          : history_order::outdated;
+        }
+        return answered.revision < known.revision ? history_order::outdated
+                                                  : history_order::current;
+    }
+    return answered.revision < known.revision ? history_order::restored : history_order::current;
+}
+
 /// Item published under a key.
 template <typename Item>
 struct published
@@ -32,6 +71,8 @@
     bool more = false;
     /// Revision of the store at the time of the page.
     std::uint64_t revision = 0;
+    /// See history_position.
+    std::optional<std::uint64_t> generation;
 };
 
 /// Options of a list_watch.
@@ -52,7 +93,7 @@
 /// Makes the calls of a list_watch and gets its events.
 template <typename S, typename Item>
 concept list_watch_sink = requires(S &sink, const std::string &after, std::uint64_t revision,
-                                   const published<Item> &item)
+                                   const published<Item> &item, const history_position &position)
 {
     sink.list(after);
     sink.watch(revision, std::int64_t{});
@@ -60,6 +101,7 @@
     sink.onSynced();
     sink.onServiceLost();
     sink.onServiceRegained();
+    sink.onHistory(history_order{}, position, position);
 };
 
 /// Keeps a copy of all items under a prefix: lists them, then watches for changes, and lists again
@@ -84,6 +126,7 @@
 
     auto onPage(published_page<Item> page) -> void
     {
+        observe({.generation = page.generation, .revision = page.revision});
         markAvailable();
         if (m_listedKeys.empty()) {
             m_listRevision = page.revision;
@@ -101,8 +144,10 @@
         m_revision = m_listRevision;
         finishSync();
     }
-    auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision) -> void
+    auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision,
+                   std::optional<std::uint64_t> generation = {}) -> void
     {
+        observe({.generation = generation, .revision = revision});
         markAvailable();
         for (auto &change : changes) {
             receive(std::move(change));
@@ -166,6 +211,17 @@
     auto lost() const -> bool { return m_lost; }
 
 private:
+    auto observe(const history_position &answered) -> void
+    {
+        const history_position known{.generation = m_generation, .revision = m_revision};
+        const auto order = compareHistory(known, answered);
+        if (order != history_order::current) {
+            m_sink.onHistory(order, known, answered);
+        }
+        if (order != history_order::outdated && answered.generation) {
+            m_generation = answered.generation;
+        }
+    }
     auto call() -> void
     {
         if (m_listing) {
@@ -232,6 +288,7 @@
     std::map<std::string, published<Item>> m_items;
     std::map<std::string, published<Item>> m_pendingRemovals;
     std::map<std::string, bool> m_listedKeys;
+    std::optional<std::uint64_t> m_generation;
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     bool m_listing = true;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -13,6 +13,7 @@
     int synced = 0;
     int lost = 0;
     int regained = 0;
+    std::vector<history_order> orders;
 
     auto list(const std::string &after) -> void { lists.push_back(after); }
     auto watch(std::uint64_t revision, std::int64_t) -> void { watches.push_back(revision); }
@@ -20,6 +21,10 @@
     auto onSynced() -> void { ++synced; }
     auto onServiceLost() -> void { ++lost; }
     auto onServiceRegained() -> void { ++regained; }
+    auto onHistory(history_order order, const history_position &, const history_position &) -> void
+    {
+        orders.push_back(order);
+    }
 };
 
 struct fixture
