--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -228,6 +228,9 @@
     auto onHistory(feed_kind kind, history_order order, const history_position &known,
                    const history_position &answered) -> void
     {
+        if (order == history_order::outdated) {
+            m_lastError = make_error_code(feed_error::outdated);
+        }
         constexpr std::int64_t UNKNOWN = -1;
         const auto generationOf = [](const history_position &position) {
             return position.generation ? static_cast<std::int64_t>(*position.generation) : UNKNOWN;
--- a/src/directory/feed.h
+++ b/src/directory/feed.h
@@ -20,6 +20,24 @@
     return feedKindNames;
 }
 
+/// Why an answer of the directory service is not used.
+enum class feed_error { outdated = 1 };
+inline constexpr std::array feedErrorNames{
+    enum_name<feed_error>{feed_error::outdated, "answer is older than what is known"},
+};
+constexpr auto namesOf(feed_error) -> const auto &
+{
+    return feedErrorNames;
+}
+constexpr auto categoryNameOf(feed_error) -> const char *
+{
+    return "feed";
+}
+inline auto make_error_code(feed_error e) -> std::error_code
+{
+    return errorCode(e);
+}
+
 /// Text of a published configuration.
 struct configuration_text
 {
@@ -39,3 +57,5 @@
 };
 
 } // namespace marjoram
+
+MARJORAM_ERROR_ENUM(marjoram::feed_error)
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -55,7 +55,7 @@
 struct published
 {
     std::string key;
-    /// Revision of its last change.
+    /// Revision of its last change; 0 in a list_watch if that was before the service was restored.
     std::uint64_t revision = 0;
     /// Empty if the item was removed or cannot be decoded.
     std::optional<Item> value;
@@ -88,6 +88,8 @@
     /// Time after an outage of the service for which removals are held back: keys may have expired
     /// during the outage and be written again.
     std::int64_t removalGraceUs = 0;
+    /// Time after which outdated answers are believed if nothing else has come meanwhile.
+    std::int64_t maxOutdatedUs = 10 * US_PER_SECOND;
 };
 
 /// Makes the calls of a list_watch and gets its events.
@@ -105,8 +107,9 @@
 };
 
 /// Keeps a copy of all items under a prefix: lists them, then watches for changes, and lists again
-/// when the history of changes was compacted. At most one call is in progress at a time. Not thread
-/// safe: belongs to one duty.
+/// when the history of changes was compacted or the service was restored from an older copy.
+/// Answers older than the known state are ignored. At most one call is in progress at a time. Not
+/// thread safe: belongs to one duty.
 template <typename Item, clock_source Clock, typename Sink>
 class list_watch
 {
@@ -126,9 +129,18 @@
 
     auto onPage(published_page<Item> page) -> void
     {
-        observe({.generation = page.generation, .revision = page.revision});
+        const auto first = m_listedKeys.empty();
+        const auto order = follow({.generation = page.generation, .revision = page.revision});
+        if (order == history_order::outdated) {
+            onFailed();
+            return;
+        }
         markAvailable();
-        if (m_listedKeys.empty()) {
+        if (order == history_order::restored && !first) {
+            scheduleRetry();
+            return;
+        }
+        if (first) {
             m_listRevision = page.revision;
         }
         const auto last = page.items.empty() ? std::string() : page.items.back().key;
@@ -147,8 +159,16 @@
     auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision,
                    std::optional<std::uint64_t> generation = {}) -> void
     {
-        observe({.generation = generation, .revision = revision});
+        const auto order = follow({.generation = generation, .revision = revision});
+        if (order == history_order::outdated) {
+            onFailed();
+            return;
+        }
         markAvailable();
+        if (order == history_order::restored) {
+            scheduleRetry();
+            return;
+        }
         for (auto &change : changes) {
             receive(std::move(change));
         }
@@ -169,9 +189,7 @@
             m_sink.onServiceLost();
         }
         m_listedKeys.clear();
-        const auto width = static_cast<std::uint64_t>(m_options.maxRetryUs - m_options.minRetryUs);
-        m_nextCallAt = m_clock.now() + m_options.minRetryUs
-                       + static_cast<std::int64_t>(m_random() % (width + 1));
+        scheduleRetry();
     }
 
     // --- timer
@@ -211,16 +229,45 @@
     auto lost() const -> bool { return m_lost; }
 
 private:
-    auto observe(const history_position &answered) -> void
+    /// Compares an answer with the known position. A restored history is adopted: all items have to
+    /// be listed again.
+    auto follow(const history_position &answered) -> history_order
     {
-        const history_position known{.generation = m_generation, .revision = m_revision};
+        const history_position known{.generation = m_generation,
+                                     .revision
+                                     = m_listedKeys.empty() ? m_revision : m_listRevision};
         const auto order = compareHistory(known, answered);
-        if (order != history_order::current) {
-            m_sink.onHistory(order, known, answered);
+        const auto now = m_clock.now();
+        if (order == history_order::outdated) {
+            if (!m_outdatedSince) {
+                m_outdatedSince = now;
+                m_sink.onHistory(order, known, answered);
+            }
+            if (now - *m_outdatedSince < m_options.maxOutdatedUs) {
+                return order;
+            }
         }
-        if (order != history_order::outdated && answered.generation) {
-            m_generation = answered.generation;
+        m_outdatedSince.reset();
+        if (order == history_order::current) {
+            m_generation = answered.generation ? answered.generation : m_generation;
+            return order;
+        }
+        m_sink.onHistory(history_order::restored, known, answered);
+        m_generation = answered.generation;
+        m_revision = 0;
+        m_listing = true;
+        m_listedKeys.clear();
+        for (auto &[key, item] : m_items) {
+            item.revision = 0;
         }
+        m_removalGraceUntil = now + m_options.removalGraceUs;
+        return history_order::restored;
+    }
+    auto scheduleRetry() -> void
+    {
+        const auto width = static_cast<std::uint64_t>(m_options.maxRetryUs - m_options.minRetryUs);
+        m_nextCallAt = m_clock.now() + m_options.minRetryUs
+                       + static_cast<std::int64_t>(m_random() % (width + 1));
     }
     auto call() -> void
     {
@@ -295,6 +342,7 @@
     bool m_lost = false;
     std::optional<time_us> m_nextCallAt;
     std::optional<time_us> m_removalGraceUntil;
+    std::optional<time_us> m_outdatedSince;
 };
 
 } // namespace marjoram
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -124,3 +124,121 @@
     f.advance(400);
     CHECK(f.sink.watches == std::vector<std::uint64_t>{5, 5});
 }
+
+namespace {
+
+auto item(std::string key, std::uint64_t revision, int value) -> published<int>
+{
+    return {.key = std::move(key), .revision = revision, .value = value};
+}
+
+/// A feed whose service states its generation, and that has listed `a` at revision 5.
+struct generation_fixture : fixture
+{
+    generation_fixture()
+    {
+        feed.start();
+        feed.onPage({.items = {item("a", 5, 5)}, .revision = 5, .generation = 1});
+        advance(1);
+        sink.lists.clear();
+    }
+};
+
+} // namespace
+
+TEST_CASE("an item written again after a restore is ignored because its revision is lower")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 2, 2)}, .revision = 3, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 2);
+    CHECK(f.feed.revision() == 3);
+    f.feed.onChanges({item("a", 4, 6)}, 4, 2);
+    CHECK(f.feed.items().at("a").value == 6);
+    CHECK(f.sink.orders == std::vector{history_order::restored});
+}
+
+TEST_CASE("a change is missed because the restored service has reached the watched revision again")
+{
+    generation_fixture f;
+    f.feed.onChanges({}, 5, 2);
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{""});
+    f.feed.onPage({.items = {item("a", 5, 7)}, .revision = 5, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 7);
+}
+
+TEST_CASE("pages from before and after a restore are joined into one listing")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 6, 6)}, .more = true, .revision = 8, .generation = 1});
+    CHECK(f.sink.lists == std::vector<std::string>{"", "a"});
+    f.feed.onPage({.items = {item("b", 3, 3)}, .revision = 9, .generation = 2});
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{"", "a", ""});
+    f.feed.onPage({.items = {item("a", 4, 4), item("b", 3, 3)}, .revision = 9, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 4);
+    CHECK(f.feed.items().at("b").value == 3);
+}
+
+TEST_CASE("a late answer of an earlier generation replaces what a later one contained")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 2, 2)}, .revision = 2, .generation = 2});
+    f.feed.onChanges({item("a", 9, 9)}, 9, 1);
+    CHECK(f.feed.items().at("a").value == 2);
+    CHECK(f.sink.lost == 1);
+    f.advance(500);
+    f.feed.onChanges({item("a", 3, 3)}, 3, 2);
+    CHECK(f.feed.items().at("a").value == 3);
+    CHECK(f.sink.regained == 1);
+    CHECK(f.sink.orders == std::vector{history_order::restored, history_order::outdated});
+}
+
+TEST_CASE("a service whose generation went back for good is never followed again")
+{
+    generation_fixture f;
+    f.feed.onPage({.items = {item("a", 6, 6)}, .revision = 6, .generation = 9});
+    for (int i = 0; i < 40; ++i) {
+        f.advance(500);
+        f.feed.onPage({.items = {item("a", 3, 3)}, .revision = 3, .generation = 1});
+    }
+    CHECK(f.feed.items().at("a").value == 3);
+    CHECK_FALSE(f.feed.lost());
+}
+
+TEST_CASE("a page older than the watch removes items and moves the watch back")
+{
+    generation_fixture f;
+    f.feed.onChanges({item("b", 7, 7)}, 7, 1);
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 6, .generation = 1});
+    f.advance(3'000);
+    CHECK(f.feed.items().contains("b"));
+    CHECK(f.feed.revision() == 7);
+}
+
+TEST_CASE("a restore goes unnoticed where the service states no generation")
+{
+    fixture f;
+    f.feed.start();
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 5});
+    f.feed.onChanges({item("b", 4, 4)}, 4);
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{"", ""});
+    f.feed.onPage({.items = {item("a", 3, 3)}, .revision = 4});
+    CHECK(f.feed.items().at("a").value == 3);
+}
+
+TEST_CASE("an item missing from the restored copy is removed before it can be written again")
+{
+    generation_fixture f;
+    f.feed.onPage({.items = {item("b", 2, 2)}, .revision = 2, .generation = 2});
+    CHECK(f.feed.items().contains("a"));
+    f.feed.onChanges({item("a", 3, 6)}, 3, 2);
+    f.advance(2'100);
+    CHECK(f.feed.items().at("a").value == 6);
+}
