--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -33,7 +33,9 @@
         view.unlistedAt.reset();
         view.announced = false;
         view.listingMissedSince.reset();
-        view.publishedLeaving = entry.state == server_state::leaving;
+        // A process that leaves does not return: an entry that lacks this is older.
+        const auto staysLeaving = known && view.publishedLeaving && entry.bornUnixMs != 0;
+        view.publishedLeaving = entry.state == server_state::leaving || staysLeaving;
         if (!known) {
             out.joined.push_back(entry.id);
         }
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -103,3 +103,22 @@
     CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
     CHECK(directory.usableServers("engines", {}).empty());
 }
+
+TEST_CASE("a leaving server gets work again because an older entry of its process is read")
+{
+    server_directory directory({});
+    auto entry = entryOf("a");
+    entry.bornUnixMs = 7;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::leaving;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::ready;
+    CHECK(directory.onServerList({entry}, {1 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableServers("engines", {1 * US_PER_SECOND}).empty());
+    directory.onServerList({}, {2 * US_PER_SECOND});
+    directory.onServerList({entry}, {3 * US_PER_SECOND});
+    CHECK(directory.usableServers("engines", {3 * US_PER_SECOND}).empty());
+    entry.bornUnixMs = 8;
+    CHECK(directory.onServerList({entry}, {4 * US_PER_SECOND}).joined.size() == 1);
+    CHECK(directory.usableServers("engines", {4 * US_PER_SECOND}).size() == 1);
+}
