--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -42,7 +42,8 @@
     /// leaving server must be known within two seconds.
     list_watch_options servers{.watchPauseUs = 1'300 * US_PER_MS,
                                .longPollMs = 1'500,
-                               .removalGraceUs = 2 * US_PER_SECOND};
+                               .removalGraceUs = 2 * US_PER_SECOND,
+                               .restoreHoldUs = 6 * US_PER_SECOND};
 };
 
 /// Duty that keeps a copy of the configuration and of the list of backend servers, which it reads
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -88,6 +88,12 @@
     /// Time after an outage of the service for which removals are held back: keys may have expired
     /// during the outage and be written again.
     std::int64_t removalGraceUs = 0;
+    /// Time after a restore of the service for which keys that had been removed before it are held
+    /// back, unless they are written again: whoever wrote them may be gone. Long enough for their
+    /// leases to run out.
+    std::int64_t restoreHoldUs = 0;
+    /// How long a removed key is remembered for this.
+    std::int64_t removedRetentionUs = 60 * US_PER_SECOND;
     /// Time after which outdated answers are believed if nothing else has come meanwhile.
     std::int64_t maxOutdatedUs = 10 * US_PER_SECOND;
 };
@@ -153,6 +159,7 @@
             return;
         }
         removeUnlisted();
+        m_restoring = false;
         m_revision = m_listRevision;
         finishSync();
     }
@@ -201,6 +208,9 @@
             && (!next || *m_removalGraceUntil < *next)) {
             next = m_removalGraceUntil;
         }
+        if (!m_heldBack.empty() && !m_lost && (!next || m_heldBackUntil < *next)) {
+            next = m_heldBackUntil;
+        }
         return next;
     }
     auto onTimer() -> void
@@ -212,13 +222,10 @@
         }
         if (m_removalGraceUntil && *m_removalGraceUntil <= now && !m_lost) {
             m_removalGraceUntil.reset();
-            if (m_pendingRemovals.empty()) {
-                return;
-            }
-            for (auto &[key, item] : std::exchange(m_pendingRemovals, {})) {
-                apply(std::move(item));
-            }
-            m_sink.onSynced();
+            applyAll(m_pendingRemovals);
+        }
+        if (m_heldBackUntil <= now && !m_lost) {
+            applyAll(m_heldBack);
         }
     }
 
@@ -261,6 +268,9 @@
             item.revision = 0;
         }
         m_removalGraceUntil = now + m_options.removalGraceUs;
+        m_restoring = true;
+        m_heldBack.clear();
+        m_heldBackUntil = now + m_options.restoreHoldUs;
         return history_order::restored;
     }
     auto scheduleRetry() -> void
@@ -299,24 +309,64 @@
             m_pendingRemovals.erase(item.key);
             return;
         }
+        if (item.removed) {
+            m_heldBack.erase(item.key);
+        }
         if (item.removed && m_removalGraceUntil && m_options.removalGraceUs > 0) {
             m_pendingRemovals.insert_or_assign(item.key, std::move(item));
             return;
         }
         m_pendingRemovals.erase(item.key);
+        if (isHeldBack(item)) {
+            m_heldBack.insert_or_assign(item.key, std::move(item));
+            return;
+        }
+        m_heldBack.erase(item.key);
         apply(std::move(item));
     }
+    /// Whether an item is in the store only because it was in the restored copy.
+    auto isHeldBack(const published<Item> &item) const -> bool
+    {
+        if (item.removed || m_options.restoreHoldUs == 0) {
+            return false;
+        }
+        const auto held = m_heldBack.find(item.key);
+        return held != m_heldBack.end() ? item.revision <= held->second.revision
+                                        : m_restoring && m_removedAt.contains(item.key);
+    }
+    auto applyAll(std::map<std::string, published<Item>> &waiting) -> void
+    {
+        if (waiting.empty()) {
+            return;
+        }
+        for (auto &[key, item] : std::exchange(waiting, {})) {
+            apply(std::move(item));
+        }
+        m_sink.onSynced();
+    }
     auto apply(published<Item> item) -> void
     {
         m_sink.onPublished(item);
         if (item.removed) {
+            recordRemoved(item.key);
             m_items.erase(item.key);
         } else {
+            m_removedAt.erase(item.key);
             m_items.insert_or_assign(item.key, std::move(item));
         }
     }
+    auto recordRemoved(const std::string &key) -> void
+    {
+        const auto now = m_clock.now();
+        std::erase_if(m_removedAt, [&](const auto &named) {
+            return now - named.second > m_options.removedRetentionUs;
+        });
+        m_removedAt.insert_or_assign(key, now);
+    }
     auto removeUnlisted() -> void
     {
+        std::erase_if(m_heldBack,
+                      [this](const auto &named) { return !m_listedKeys.contains(named.first); });
         std::vector<std::string> unlisted;
         for (const auto &[key, item] : m_items) {
             if (!m_listedKeys.contains(key)) {
@@ -334,15 +384,21 @@
     Sink &m_sink;
     std::map<std::string, published<Item>> m_items;
     std::map<std::string, published<Item>> m_pendingRemovals;
+    /// Items of a restored copy whose keys had been removed before.
+    std::map<std::string, published<Item>> m_heldBack;
+    std::map<std::string, time_us> m_removedAt;
     std::map<std::string, bool> m_listedKeys;
     std::optional<std::uint64_t> m_generation;
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     bool m_listing = true;
+    /// The listing in progress is the first one after a restore.
+    bool m_restoring = false;
     bool m_lost = false;
     std::optional<time_us> m_nextCallAt;
     std::optional<time_us> m_removalGraceUntil;
     std::optional<time_us> m_outdatedSince;
+    time_us m_heldBackUntil;
 };
 
 } // namespace marjoram
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -32,7 +32,10 @@
     virtual_clock_source::state time;
     recorder sink;
     list_watch<int, virtual_clock_source, recorder> feed{
-        {.removalGraceUs = 2 * US_PER_SECOND}, virtual_clock_source(&time), 1, sink};
+        {.removalGraceUs = 2 * US_PER_SECOND, .restoreHoldUs = 6 * US_PER_SECOND},
+        virtual_clock_source(&time),
+        1,
+        sink};
 
     auto advance(std::int64_t ms) -> void
     {
@@ -242,3 +245,50 @@
     f.advance(2'100);
     CHECK(f.feed.items().at("a").value == 6);
 }
+
+namespace {
+
+/// A restored copy contains `b`, which had been removed before.
+struct removed_fixture : generation_fixture
+{
+    removed_fixture()
+    {
+        feed.onChanges({item("b", 6, 6)}, 6, 1);
+        feed.onChanges({{.key = "b", .revision = 7, .removed = true}}, 7, 1);
+        feed.onPage({.items = {item("a", 5, 5), item("b", 6, 6)}, .revision = 6, .generation = 2});
+    }
+};
+
+} // namespace
+
+TEST_CASE("an item that had been removed comes back with the restored copy")
+{
+    removed_fixture f;
+    CHECK(f.feed.items().contains("a"));
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 5, 5), item("b", 6, 6)}, .revision = 8, .generation = 2});
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.feed.onChanges({{.key = "b", .revision = 9, .removed = true}}, 9, 2);
+    f.advance(7'000);
+    CHECK_FALSE(f.feed.items().contains("b"));
+}
+
+TEST_CASE("an item of the restored copy that is written again is held back")
+{
+    removed_fixture f;
+    f.feed.onChanges({item("b", 8, 8)}, 8, 2);
+    CHECK(f.feed.items().at("b").value == 8);
+}
+
+TEST_CASE("an item of the restored copy that nobody removes is held back for ever")
+{
+    removed_fixture f;
+    const auto synced = f.sink.synced;
+    REQUIRE(f.feed.nextTimer());
+    f.advance(5'000);
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.advance(2'000);
+    CHECK(f.feed.items().at("b").value == 6);
+    CHECK(f.sink.synced > synced);
+}
