--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "framework/global/clock.h"
+#include "framework/global/enumnames.h"
 #include "framework/global/identifiers.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,12 +13,49 @@
 
 namespace marjoram {
 
+/// Point in the history of the directory service.
+struct history_position
+{
+    /// Rises each time the service comes back from an older copy of its data: revisions go back and
+    /// are given out again. Empty if the service does not state it.
+    std::optional<std::uint64_t> generation;
+    std::uint64_t revision = 0;
+};
+
+/// How the position of an answer compares with the known one.
+enum class history_order { current, restored, outdated };
+inline constexpr std::array historyOrderNames{
+    enum_name<history_order>{history_order::current, "current"},
+    enum_name<history_order>{history_order::restored, "restored"},
+    enum_name<history_order>{history_order::outdated, "outdated"},
+};
+constexpr auto namesOf(history_order) -> const auto &
+{
+    return historyOrderNames;
+}
+
+/// Compares the position of an answer with the known one. Without a generation, a revision that
+/// went back means that the service was restored.
+inline auto compareHistory(const history_position &known, const history_position &answered)
+    -> history_order
+{
+    if (known.generation && answered.generation) {
+        if (answered.generation != known.generation) {
+            return answered.generation > known.generation ? history_order::restored
+                                                          : history_order::outdated;
+        }
+        return answered.revision < known.revision ? history_order::outdated
+                                                  : history_order::current;
+    }
+    return answered.revision < known.revision ? history_order::restored : history_order::current;
+}
+
 /// Item published under a key.
 template <typename Item>
 struct published
 {
     std::string key;
-    /// Revision of its last change.
+    /// Revision of its last change; 0 in a list_watch if that was before the service was restored.
     std::uint64_t revision = 0;
     /// Empty if the item was removed or cannot be decoded.
     std::optional<Item> value;
@@ -32,6 +71,8 @@
     bool more = false;
     /// Revision of the store at the time of the page.
     std::uint64_t revision = 0;
+    /// See history_position.
+    std::optional<std::uint64_t> generation;
 };
 
 /// Options of a list_watch.
@@ -47,12 +88,20 @@
     /// Time after an outage of the service for which removals are held back: keys may have expired
     /// during the outage and be written again.
     std::int64_t removalGraceUs = 0;
+    /// Time after a restore of the service for which keys that had been removed before it are held
+    /// back, unless they are written again: whoever wrote them may be gone. Long enough for their
+    /// leases to run out.
+    std::int64_t restoreHoldUs = 0;
+    /// How long a removed key is remembered for this.
+    std::int64_t removedRetentionUs = 60 * US_PER_SECOND;
+    /// Time after which outdated answers are believed if nothing else has come meanwhile.
+    std::int64_t maxOutdatedUs = 10 * US_PER_SECOND;
 };
 
 /// Makes the calls of a list_watch and gets its events.
 template <typename S, typename Item>
 concept list_watch_sink = requires(S &sink, const std::string &after, std::uint64_t revision,
-                                   const published<Item> &item)
+                                   const published<Item> &item, const history_position &position)
 {
     sink.list(after);
     sink.watch(revision, std::int64_t{});
@@ -60,11 +109,13 @@
     sink.onSynced();
     sink.onServiceLost();
     sink.onServiceRegained();
+    sink.onHistory(history_order{}, position, position);
 };
 
 /// Keeps a copy of all items under a prefix: lists them, then watches for changes, and lists again
-/// when the history of changes was compacted. At most one call is in progress at a time. Not thread
-/// safe: belongs to one duty.
+/// when the history of changes was compacted or the service was restored from an older copy.
+/// Answers older than the known state are ignored. At most one call is in progress at a time. Not
+/// thread safe: belongs to one duty.
 template <typename Item, clock_source Clock, typename Sink>
 class list_watch
 {
@@ -84,8 +135,18 @@
 
     auto onPage(published_page<Item> page) -> void
     {
+        const auto first = m_listedKeys.empty();
+        const auto order = follow({.generation = page.generation, .revision = page.revision});
+        if (order == history_order::outdated) {
+            onFailed();
+            return;
+        }
         markAvailable();
-        if (m_listedKeys.empty()) {
+        if (order == history_order::restored && !first) {
+            scheduleRetry();
+            return;
+        }
+        if (first) {
             m_listRevision = page.revision;
         }
         const auto last = page.items.empty() ? std::string() : page.items.back().key;
@@ -104,12 +165,23 @@
             return;
         }
         removeUnlisted();
+        m_restoring = false;
         m_revision = m_listRevision;
         finishSync();
     }
-    auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision) -> void
+    auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision,
+                   std::optional<std::uint64_t> generation = {}) -> void
     {
+        const auto order = follow({.generation = generation, .revision = revision});
+        if (order == history_order::outdated) {
+            onFailed();
+            return;
+        }
         markAvailable();
+        if (order == history_order::restored) {
+            scheduleRetry();
+            return;
+        }
         for (auto &change : changes) {
             receive(std::move(change));
         }
@@ -131,9 +203,7 @@
             m_sink.onServiceLost();
         }
         m_listedKeys.clear();
-        const auto width = static_cast<std::uint64_t>(m_options.maxRetryUs - m_options.minRetryUs);
-        m_nextCallAt = m_clock.now() + m_options.minRetryUs
-                       + static_cast<std::int64_t>(m_random() % (width + 1));
+        scheduleRetry();
     }
 
     // --- timer
@@ -145,6 +215,9 @@
             && (!next || *m_removalGraceUntil < *next)) {
             next = m_removalGraceUntil;
         }
+        if (!m_heldBack.empty() && !m_lost && (!next || m_heldBackUntil < *next)) {
+            next = m_heldBackUntil;
+        }
         return next;
     }
     auto onTimer() -> void
@@ -156,13 +229,10 @@
         }
         if (m_removalGraceUntil && *m_removalGraceUntil <= now && !m_lost) {
             m_removalGraceUntil.reset();
-            if (m_pendingRemovals.empty()) {
-                return;
-            }
-            for (auto &[key, item] : std::exchange(m_pendingRemovals, {})) {
-                apply(std::move(item));
-            }
-            m_sink.onSynced();
+            applyAll(m_pendingRemovals);
+        }
+        if (m_heldBackUntil <= now && !m_lost) {
+            applyAll(m_heldBack);
         }
     }
 
@@ -173,6 +243,49 @@
     auto lost() const -> bool { return m_lost; }
 
 private:
+    /// Compares an answer with the known position. A restored history is adopted: all items have to
+    /// be listed again.
+    auto follow(const history_position &answered) -> history_order
+    {
+        const history_position known{.generation = m_generation,
+                                     .revision
+                                     = m_listedKeys.empty() ? m_revision : m_listRevision};
+        const auto order = compareHistory(known, answered);
+        const auto now = m_clock.now();
+        if (order == history_order::outdated) {
+            if (!m_outdatedSince) {
+                m_outdatedSince = now;
+                m_sink.onHistory(order, known, answered);
+            }
+            if (now - *m_outdatedSince < m_options.maxOutdatedUs) {
+                return order;
+            }
+        }
+        m_outdatedSince.reset();
+        if (order == history_order::current) {
+            m_generation = answered.generation ? answered.generation : m_generation;
+            return order;
+        }
+        m_sink.onHistory(history_order::restored, known, answered);
+        m_generation = answered.generation;
+        m_revision = 0;
+        m_listing = true;
+        m_listedKeys.clear();
+        for (auto &[key, item] : m_items) {
+            item.revision = 0;
+        }
+        m_removalGraceUntil = now + m_options.removalGraceUs;
+        m_restoring = true;
+        m_heldBack.clear();
+        m_heldBackUntil = now + m_options.restoreHoldUs;
+        return history_order::restored;
+    }
+    auto scheduleRetry() -> void
+    {
+        const auto width = static_cast<std::uint64_t>(m_options.maxRetryUs - m_options.minRetryUs);
+        m_nextCallAt = m_clock.now() + m_options.minRetryUs
+                       + static_cast<std::int64_t>(m_random() % (width + 1));
+    }
     auto call() -> void
     {
         if (m_listing) {
@@ -204,24 +317,64 @@
             m_pendingRemovals.erase(item.key);
             return;
         }
+        if (item.removed) {
+            m_heldBack.erase(item.key);
+        }
         if (item.removed && m_removalGraceUntil && m_options.removalGraceUs > 0) {
             m_pendingRemovals.insert_or_assign(item.key, std::move(item));
             return;
         }
         m_pendingRemovals.erase(item.key);
+        if (isHeldBack(item)) {
+            m_heldBack.insert_or_assign(item.key, std::move(item));
+            return;
+        }
+        m_heldBack.erase(item.key);
         apply(std::move(item));
     }
+    /// Whether an item is in the store only because it was in the restored copy.
+    auto isHeldBack(const published<Item> &item) const -> bool
+    {
+        if (item.removed || m_options.restoreHoldUs == 0) {
+            return false;
+        }
+        const auto held = m_heldBack.find(item.key);
+        return held != m_heldBack.end() ? item.revision <= held->second.revision
+                                        : m_restoring && m_removedAt.contains(item.key);
+    }
+    auto applyAll(std::map<std::string, published<Item>> &waiting) -> void
+    {
+        if (waiting.empty()) {
+            return;
+        }
+        for (auto &[key, item] : std::exchange(waiting, {})) {
+            apply(std::move(item));
+        }
+        m_sink.onSynced();
+    }
     auto apply(published<Item> item) -> void
     {
         m_sink.onPublished(item);
         if (item.removed) {
+            recordRemoved(item.key);
             m_items.erase(item.key);
         } else {
+            m_removedAt.erase(item.key);
             m_items.insert_or_assign(item.key, std::move(item));
         }
     }
+    auto recordRemoved(const std::string &key) -> void
+    {
+        const auto now = m_clock.now();
+        std::erase_if(m_removedAt, [&](const auto &named) {
+            return now - named.second > m_options.removedRetentionUs;
+        });
+        m_removedAt.insert_or_assign(key, now);
+    }
     auto removeUnlisted() -> void
     {
+        std::erase_if(m_heldBack,
+                      [this](const auto &named) { return !m_listedKeys.contains(named.first); });
         std::vector<std::string> unlisted;
         for (const auto &[key, item] : m_items) {
             if (!m_listedKeys.contains(key)) {
@@ -239,15 +392,23 @@
     Sink &m_sink;
     std::map<std::string, published<Item>> m_items;
     std::map<std::string, published<Item>> m_pendingRemovals;
+    /// Items of a restored copy whose keys had been removed before.
+    std::map<std::string, published<Item>> m_heldBack;
+    std::map<std::string, time_us> m_removedAt;
     std::map<std::string, bool> m_listedKeys;
     /// Last key of the latest page.
     std::string m_listedUpTo;
+    std::optional<std::uint64_t> m_generation;
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     bool m_listing = true;
+    /// The listing in progress is the first one after a restore.
+    bool m_restoring = false;
     bool m_lost = false;
     std::optional<time_us> m_nextCallAt;
     std::optional<time_us> m_removalGraceUntil;
+    std::optional<time_us> m_outdatedSince;
+    time_us m_heldBackUntil;
 };
 
 } // namespace marjoram
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -125,3 +125,22 @@
                        NOW);
     CHECK(directory.find("a")->limitedUntil > NOW);
 }
+
+TEST_CASE("a leaving server gets work again because an older entry of its process is read")
+{
+    server_directory directory({});
+    auto entry = entryOf("a");
+    entry.bornUnixMs = 7;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::leaving;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::ready;
+    CHECK(directory.onServerList({entry}, {1 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableServers("engines", {1 * US_PER_SECOND}).empty());
+    directory.onServerList({}, {2 * US_PER_SECOND});
+    directory.onServerList({entry}, {3 * US_PER_SECOND});
+    CHECK(directory.usableServers("engines", {3 * US_PER_SECOND}).empty());
+    entry.bornUnixMs = 8;
+    CHECK(directory.onServerList({entry}, {4 * US_PER_SECOND}).joined.size() == 1);
+    CHECK(directory.usableServers("engines", {4 * US_PER_SECOND}).size() == 1);
+}
