Serverviews: a server that states in an answer that it is leaving gets no new work

A backend server that is about to shut down states so in all its answers (Server-Leaving). Entries ignored that: they went by the published list and the reports, which may show the server as ready for seconds, or for good while the store is away or an older copy of it is read.

The statement is decoded with each answer, and the directory keeps it with the start time of the process: neither a list or report that shows the same process as ready nor its removal from the list and return end it, only a new process does. Runs are moved as for a reported leaving (source "answer" in the log). A request whose pool has only leaving servers is refused at once as not run, instead of after the wait for room.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -145,6 +145,10 @@
     {
         std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
                    std::move(event));
+        // Runs move only once the request whose answer stated it has its new state.
+        if (const auto id = std::exchange(m_statedLeaving, std::nullopt)) {
+            onLeaving(*id, "answer");
+        }
         endQuarantinedRequests();
     }
 
@@ -247,7 +251,7 @@
     {
         const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
-        if (m_directory.poolSize(pool) == 0) {
+        if (m_directory.poolSize(pool) == 0 || m_directory.allLeaving(pool)) {
             failRequest(request, failure::no_backend_server, ran);
         } else if (const auto until = m_directory.limitedUntil(pool, m_clock.now())) {
             failRequest(request, failure::rate_limited, ran, until);
@@ -320,13 +324,19 @@
 
     // --- answers
 
+    auto onAnswer(const request_state &request, const response_head &head) -> void
+    {
+        if (m_servers.onAnswer(request.run.serverId, head)) {
+            m_statedLeaving = request.run.serverId;
+        }
+    }
     auto on(response_received &&answered) -> void
     {
         auto *request = findByExchange(answered.exchangeId);
         if (!request) {
             return;
         }
-        m_servers.onAnswer(request->run.serverId, answered.head);
+        onAnswer(*request, answered.head);
         endExchange(*request);
         if (answered.head.notRun || answered.head.wrongServer) {
             onRefusedByServer(*request, answered.head);
@@ -379,7 +389,7 @@
         if (!request) {
             return;
         }
-        m_servers.onAnswer(request->run.serverId, begun.head);
+        onAnswer(*request, begun.head);
         request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
         request->run.begun = true;
@@ -750,6 +760,8 @@
     run_mover<Clock, forwarding_core> m_mover;
     crash_quarantine<Clock, forwarding_core> m_quarantine;
     server_observer<Clock, Sink> m_servers;
+    /// Server that has stated in the answer being handled that it is leaving.
+    std::optional<std::string> m_statedLeaving;
     bool m_quarantineChanged = false;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -233,6 +233,8 @@
     bool notRun = false;
     /// A different server answered at this address.
     bool wrongServer = false;
+    /// The server states that it is about to shut down.
+    bool leaving = false;
     std::optional<load_sample> load;
     /// Requests per 1,000 seconds that the server accepts from all entries together; 0 if it states
     /// no limit.
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -238,10 +238,12 @@
                         {"questions", static_cast<std::int64_t>(request.roomRequest.count)},
                         {"room", std::string(nameOf(request.roomRequest.lastVerdict))}});
         }
-        // If the limits of all servers last longer, the caller is told at once when to retry.
-        const auto limitedUntil
-            = m_directory.limitedUntil(request.pool ? request.pool->name : "", now);
-        if (now >= *request.waitUntil || (limitedUntil && *limitedUntil > *request.waitUntil)) {
+        // Waiting is useless if all servers are leaving or their limits last longer: then the
+        // caller is told at once when to retry.
+        const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
+        const auto limitedUntil = m_directory.limitedUntil(pool, now);
+        if (now >= *request.waitUntil || (limitedUntil && *limitedUntil > *request.waitUntil)
+            || m_directory.allLeaving(pool)) {
             m_host.onPlacementFailed(request);
             return;
         }
--- a/src/forwarding/serverobserver.h
+++ b/src/forwarding/serverobserver.h
@@ -30,19 +30,18 @@
         logRateLimitChange(id, limitBefore, "report");
         return becameLeaving;
     }
-    /// Takes the load and the rate limit that an answer states.
-    auto onAnswer(const std::string &id, const response_head &head) -> void
+    /// Takes what an answer states about its server. Returns true if the server is now leaving and
+    /// was not before.
+    auto onAnswer(const std::string &id, const response_head &head) -> bool
     {
-        const auto now = m_clock.now();
         if (head.load) {
-            m_directory.onLoad(id, *head.load, now);
+            m_directory.onLoad(id, *head.load, m_clock.now());
         }
-        const auto limitBefore = rateLimitOf(id);
-        if (head.wrongServer || !m_directory.onRateLimit(id, head.milliRateLimit, now)) {
-            return;
+        if (head.wrongServer) {
+            return false;
         }
-        logRateLimitChange(id, limitBefore, "answer");
-        m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
+        updateRateLimit(id, head);
+        return head.leaving && m_directory.onStatedLeaving(id);
     }
     /// Counts the outcome of a request's present run towards the health of its server.
     auto onOutcome(const request_state &request, bool succeeded) -> void
@@ -79,6 +78,15 @@
     }
 
 private:
+    auto updateRateLimit(const std::string &id, const response_head &head) -> void
+    {
+        const auto limitBefore = rateLimitOf(id);
+        if (!m_directory.onRateLimit(id, head.milliRateLimit, m_clock.now())) {
+            return;
+        }
+        logRateLimitChange(id, limitBefore, "answer");
+        m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
+    }
     auto rateLimitOf(const std::string &id) const -> std::uint64_t
     {
         const auto *view = m_directory.find(id);
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -132,13 +132,22 @@
     }
     auto lastSend() -> send_request { return sink.servers<send_request>().back(); }
     auto sends() -> std::size_t { return sink.servers<send_request>().size(); }
+    /// The server of the last send answers it.
+    auto answer(response_head head) -> void
+    {
+        core.onEvent(
+            response_received{.exchangeId = lastSend().exchangeId, .head = std::move(head)});
+    }
     auto failExchange(fetch_phase phase) -> void
     {
         core.onEvent(exchange_failed{.exchangeId = lastSend().exchangeId,
                                      .phase = phase,
                                      .error = make_error_code(failure::backend_server_lost)});
     }
-    auto beginStream() -> void { core.onEvent(stream_begun{.exchangeId = lastSend().exchangeId}); }
+    auto beginStream(response_head head = {}) -> void
+    {
+        core.onEvent(stream_begun{.exchangeId = lastSend().exchangeId, .head = std::move(head)});
+    }
     auto streamEvents(std::uint64_t from, std::uint64_t to) -> void
     {
         stream_advanced advanced{.exchangeId = lastSend().exchangeId};
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -27,7 +27,8 @@
     for (const auto &entry : entries) {
         auto node = m_views.extract(entry.id);
         const auto known = !node.empty() && sameProcess(node.mapped().entry, entry);
-        auto view = known ? std::move(node.mapped()) : makeView(entry, now);
+        auto view = known ? std::move(node.mapped())
+                          : addView(entry, node.empty() ? nullptr : &node.mapped(), now);
         const auto wasLeaving = view.leaving();
         view.entry = entry;
         view.unlistedAt.reset();
@@ -55,10 +56,10 @@
             kept.emplace(id, std::move(view));
         } else {
             out.gone.push_back(id);
+            recordGone(view, now);
         }
     }
     m_views = std::move(kept);
-    recordGone(out.gone, now);
     return out;
 }
 
@@ -82,6 +83,9 @@
     const auto nowLeaving = report.state == server_state::leaving || report.leavesMs.has_value();
     const auto becameLeaving = nowLeaving && !view->leaving();
     view->reportedLeaving = nowLeaving;
+    if (!nowLeaving && report.bornUnixMs > view->statedLeavingBornUnixMs.value_or(INT64_MAX)) {
+        view->statedLeavingBornUnixMs.reset();
+    }
     if (report.leavesMs) {
         view->shutdownAt = now + *report.leavesMs * US_PER_MS;
     }
@@ -93,6 +97,19 @@
     return becameLeaving;
 }
 
+auto server_directory::onStatedLeaving(const std::string &id) -> bool
+{
+    auto *view = findMutable(id);
+    if (!view) {
+        return false;
+    }
+    const auto wasLeaving = view->leaving();
+    // The later start is that of the process that answered: list and report may be of earlier ones.
+    const auto reported = view->report ? view->report->bornUnixMs : 0;
+    view->statedLeavingBornUnixMs = std::max(view->entry.bornUnixMs, reported);
+    return !wasLeaving;
+}
+
 auto server_directory::onLoad(const std::string &id, const load_sample &load, time_us now) -> void
 {
     if (auto *view = findMutable(id)) {
@@ -290,6 +307,18 @@
     return out;
 }
 
+auto server_directory::allLeaving(std::string_view pool) const -> bool
+{
+    bool any = false;
+    for (const auto &[id, view] : m_views) {
+        if (view.entry.pool == pool && !view.leaving()) {
+            return false;
+        }
+        any = any || view.entry.pool == pool;
+    }
+    return any;
+}
+
 auto server_directory::poolSize(std::string_view pool) const -> std::size_t
 {
     return static_cast<std::size_t>(
@@ -319,13 +348,35 @@
     return !view.leaving() && !(view.announced && silent);
 }
 
-auto server_directory::recordGone(const std::vector<std::string> &gone, time_us now) -> void
+/// Returns the view of a process that has just been listed. It keeps what the process has stated
+/// while `predecessor` was listed at its id, or before it was removed.
+auto server_directory::addView(const server_entry &entry, const server_view *predecessor,
+                               time_us now) const -> server_view
 {
-    std::erase_if(
-        m_gone, [&](const auto &named) { return now - named.second > m_options.goneRetentionUs; });
-    for (const auto &id : gone) {
-        m_gone.insert_or_assign(id, now);
+    auto view = makeView(entry, now);
+    const auto keep = [&](const server_entry &known, std::optional<std::int64_t> statedBorn) {
+        if (statedBorn == entry.bornUnixMs && known.address == entry.address) {
+            view.statedLeavingBornUnixMs = statedBorn;
+        }
+    };
+    if (predecessor) {
+        keep(predecessor->entry, predecessor->statedLeavingBornUnixMs);
+    }
+    if (const auto gone = m_gone.find(entry.id); gone != m_gone.end()) {
+        keep(gone->second.entry, gone->second.statedLeavingBornUnixMs);
     }
+    return view;
+}
+
+auto server_directory::recordGone(const server_view &view, time_us now) -> void
+{
+    std::erase_if(m_gone, [&](const auto &named) {
+        return now - named.second.at > m_options.goneRetentionUs;
+    });
+    m_gone.insert_or_assign(view.entry.id,
+                            gone_server{.at = now,
+                                        .entry = view.entry,
+                                        .statedLeavingBornUnixMs = view.statedLeavingBornUnixMs});
 }
 
 auto server_directory::mayEject(const server_view &view, time_us now) const -> bool
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -74,6 +74,9 @@
     auto onAnnounced(const server_entry &entry, time_us now) -> bool;
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
+    /// An answer of the server states that it is leaving. This holds until its process is replaced.
+    /// Returns true if the server was not known to be leaving.
+    auto onStatedLeaving(const std::string &id) -> bool;
     auto onLoad(const std::string &id, const load_sample &load, time_us now) -> void;
     /// Takes the rate limit that an answer of the server states, 0 if none. Returns true if the
     /// server's reporter should learn of it.
@@ -101,6 +104,8 @@
     /// Returns when the first server of a pool may get a request within its limit; nullopt if one
     /// may now.
     auto limitedUntil(std::string_view pool, time_us now) const -> std::optional<time_us>;
+    /// Whether all servers of a pool are leaving; false if it has none.
+    auto allLeaving(std::string_view pool) const -> bool;
     /// Number of servers of a pool in any state.
     auto poolSize(std::string_view pool) const -> std::size_t;
     auto views() const -> const std::map<std::string, server_view, std::less<>> &
@@ -109,6 +114,14 @@
     }
 
 private:
+    struct gone_server
+    {
+        time_us at;
+        /// Its last entry, and the process that stated that it was leaving.
+        server_entry entry;
+        std::optional<std::int64_t> statedLeavingBornUnixMs;
+    };
+
     auto findMutable(const std::string &id) -> server_view *;
     auto setRateLimit(server_view &view, std::uint64_t milliPerSecond, time_us seenAt, time_us now)
         -> bool;
@@ -117,13 +130,15 @@
     auto shareOf(const server_view &view) const -> double;
     auto isListingPending(server_view &view, time_us now) const -> bool;
     auto isUsable(const server_view &view, time_us now) const -> bool;
-    auto recordGone(const std::vector<std::string> &gone, time_us now) -> void;
+    auto addView(const server_entry &entry, const server_view *predecessor, time_us now) const
+        -> server_view;
+    auto recordGone(const server_view &view, time_us now) -> void;
     auto mayEject(const server_view &view, time_us now) const -> bool;
     auto eject(server_view &view, time_us now) const -> bool;
 
     server_directory_options m_options;
     std::map<std::string, server_view, std::less<>> m_views;
-    std::map<std::string, time_us> m_gone;
+    std::map<std::string, gone_server> m_gone;
     random_source m_random;
     std::uint32_t m_entryCount = 1;
 };
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -18,6 +18,9 @@
     /// Whether the published entry, or the server's report, says that it is leaving.
     bool publishedLeaving = false;
     bool reportedLeaving = false;
+    /// Start time of the process that has stated in an answer that it is leaving. Such a process
+    /// never accepts new work again, whatever older lists and reports say.
+    std::optional<std::int64_t> statedLeavingBornUnixMs;
     /// Known only from its reporter; not in the published list yet.
     bool announced = false;
     /// When a published list first lacked this announced server.
@@ -63,7 +66,8 @@
     /// Whether it gets no new work because it is about to shut down.
     auto leaving() const -> bool
     {
-        return publishedLeaving || reportedLeaving || unlistedAt.has_value();
+        return publishedLeaving || reportedLeaving || statedLeavingBornUnixMs
+               || unlistedAt.has_value();
     }
 };
 
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -103,3 +103,61 @@
     CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
     CHECK(directory.usableServers("engines", {}).empty());
 }
+
+TEST_CASE(
+    "a process that has stated that it is leaving gets no new work from older lists or reports")
+{
+    server_directory directory({});
+    auto first = entryOf("a");
+    first.bornUnixMs = 5;
+    directory.onServerList({first}, {});
+    CHECK(directory.onStatedLeaving("a"));
+    CHECK_FALSE(directory.onStatedLeaving("a"));
+    CHECK_FALSE(directory.onReport("a", {.bornUnixMs = 5}, {}));
+    CHECK(directory.onServerList({first}, {}).leaving.empty());
+    CHECK(directory.usableServers("engines", {}).empty());
+    CHECK(directory.allLeaving("engines"));
+
+    SUBCASE("nor after it was removed from the list and is listed again")
+    {
+        directory.onServerList({}, {});
+        REQUIRE(directory.onServerList({}, {7 * US_PER_SECOND}).gone.size() == 1);
+        directory.onServerList({first}, {8 * US_PER_SECOND});
+        CHECK(directory.usableServers("engines", {8 * US_PER_SECOND}).empty());
+    }
+    SUBCASE("its successor with the same id does")
+    {
+        auto next = first;
+        next.bornUnixMs = 9;
+        directory.onServerList({next}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+        CHECK_FALSE(directory.allLeaving("engines"));
+    }
+    SUBCASE("its successor at another address does")
+    {
+        auto next = first;
+        next.address.port = 81;
+        directory.onServerList({next}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+    }
+    SUBCASE("its successor that reports before it is listed does")
+    {
+        directory.onReport("a", {.bornUnixMs = 9}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+    }
+}
+
+TEST_CASE("a process that has stated that it is leaving before it was listed gets no new work once "
+          "it is listed")
+{
+    server_directory directory({});
+    auto predecessor = entryOf("a");
+    predecessor.bornUnixMs = 5;
+    directory.onServerList({predecessor}, {});
+    directory.onReport("a", {.bornUnixMs = 9}, {});
+    directory.onStatedLeaving("a");
+    auto listed = predecessor;
+    listed.bornUnixMs = 9;
+    directory.onServerList({listed}, {});
+    CHECK(directory.usableServers("engines", {}).empty());
+}
