Reports: entries that share an address no longer lose each other's reports

Callers were kept waiting or refused although an engine was free: a server that had crashed and started again under a new id at the same address got no reports, and so no new work by them, until its old entry had gone (three heartbeats). An odd entry with the address of a sound server took that server's reports away for as long as it was there.

Cause: the entry kept one state an address, of whichever listed server came first, and dropped reports whose start did not match that one. An announced server at an address that was still listed got no state at all.

Change: several servers may share an address. A report belongs to the one with its start; if none has it, to all at the address whose start is unknown.

Result: "a report is ascribed to the server with its start among entries that share an address" and "an announced server gets its reports although an old entry has its address" failed before and pass now.

--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -30,6 +30,12 @@
 /// Path of an announcement: reporter, entry, another reporter, all its entries.
 constexpr std::uint32_t MAX_RELAYS = 2;
 
+auto isListed(const servers_changed &changed, const std::string &serverId) -> bool
+{
+    return std::any_of(changed.servers.begin(), changed.servers.end(),
+                       [&serverId](const server_entry &entry) { return entry.id == serverId; });
+}
+
 auto toReport(const server_report_frame &frame) -> server_report
 {
     return {.answering = frame.answering,
@@ -67,6 +73,10 @@
         bool announced = false;
     };
 
+    /// By the server's address. Several entries may share one: that of a server which crashed and
+    /// of its successor, or an odd one that another writer has left.
+    using reporter_map = std::unordered_multimap<std::string, reporter_state>;
+
     impl(reports_options given, forward_rings &rings, metric_set<reports_metric> &numbers,
          reports_duty &outer)
         : options(std::move(given))
@@ -80,12 +90,11 @@
 
     auto onServerList(const servers_changed &changed) -> void
     {
-        std::unordered_map<std::string, reporter_state> kept;
+        reporter_map kept;
         for (const auto &entry : changed.servers) {
             const auto address = toText(entry.address);
-            const auto known = reporters.find(address);
+            const auto known = findReporter(address, entry.id);
             const auto same = known != reporters.end() && !known->second.unlistedAt
-                              && known->second.serverId == entry.id
                               && known->second.bornUnixMs == entry.bornUnixMs;
             auto state = same ? std::move(known->second)
                               : reporter_state{.serverId = entry.id,
@@ -100,7 +109,8 @@
         // A server that was removed from the list may go on serving and reporting for a while.
         const auto now = clock.now();
         for (auto &[address, state] : reporters) {
-            if (state.serverId.empty() || kept.contains(address)) {
+            const auto replaced = kept.contains(address) && !state.announced;
+            if (state.serverId.empty() || isListed(changed, state.serverId) || replaced) {
                 continue;
             }
             state.unlistedAt = state.unlistedAt.value_or(now);
@@ -140,7 +150,7 @@
         if (announcement.relays < MAX_RELAYS) {
             relay(announcement);
         }
-        if (!reporters.contains(announcement.server)) {
+        if (findReporter(announcement.server, announcement.id) == reporters.end()) {
             reporter_state state{.serverId = announcement.id,
                                  .bornUnixMs = announcement.bornUnixMs,
                                  .reporter
@@ -190,18 +200,42 @@
     }
     auto onRoomReply(const room_reply_frame &reply) -> void
     {
-        const auto found = reporters.find(reply.report.server);
-        if (found == reporters.end()) {
+        const auto states = statesFor(reply.report);
+        if (states.empty()) {
             return;
         }
-        auto &state = found->second;
-        state.unansweredRequests = 0;
-        state.sequence = std::max(state.sequence, reply.report.sequence);
+        auto *state = states.front();
+        state->unansweredRequests = 0;
+        state->sequence = std::max(state->sequence, reply.report.sequence);
         reports.push(room_replied{.askId = reply.askId,
                                   .verdict = reply.verdict,
-                                  .serverId = state.serverId,
+                                  .serverId = state->serverId,
                                   .report = toReport(reply.report)});
     }
+    auto findReporter(const std::string &address, const std::string &serverId)
+        -> reporter_map::iterator
+    {
+        const auto [begin, end] = reporters.equal_range(address);
+        const auto found = std::find_if(begin, end, [&serverId](const auto &named) {
+            return named.second.serverId == serverId;
+        });
+        return found == end ? reporters.end() : found;
+    }
+    /// Returns the states of the servers that a report may be about: those at its address with its
+    /// start, or all at its address if none has it.
+    auto statesFor(const server_report_frame &report) -> std::vector<reporter_state *>
+    {
+        std::vector<reporter_state *> sameStart;
+        std::vector<reporter_state *> all;
+        const auto [begin, end] = reporters.equal_range(report.server);
+        for (auto at = begin; at != end; ++at) {
+            all.push_back(&at->second);
+            if (at->second.bornUnixMs == report.bornUnixMs) {
+                sameStart.push_back(&at->second);
+            }
+        }
+        return sameStart.empty() ? all : sameStart;
+    }
     auto on(const request_room &asked) -> void
     {
         sendTo(asked.serverId, room_request_frame{.askId = asked.askId,
@@ -232,11 +266,12 @@
     }
     auto onReport(const server_report_frame &report) -> void
     {
-        const auto found = reporters.find(report.server);
-        if (found == reporters.end()) {
-            return;
+        for (auto *state : statesFor(report)) {
+            onReport(*state, report);
         }
-        auto &state = found->second;
+    }
+    auto onReport(reporter_state &state, const server_report_frame &report) -> void
+    {
         const auto otherProcess = report.bornUnixMs != 0 && state.bornUnixMs != 0
                                   && report.bornUnixMs != state.bornUnixMs;
         // A restarted reporter counts from 1 again.
@@ -286,8 +321,7 @@
     ring_writer<report_event> reports;
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
-    /// By the server's address.
-    std::unordered_map<std::string, reporter_state> reporters;
+    reporter_map reporters;
     std::uint64_t round = 0;
     random_source random{systemSeed()};
     /// Ids and start times of the servers that were announced.
--- /dev/null
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -0,0 +1,140 @@
+#include "framework/ring/ringends.h"
+#include "reporting/datagramsocket.h"
+#include "reporting/reportsduty.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+
+namespace {
+
+constexpr std::int64_t BORN = 1'800'000'000'000;
+
+/// A duty, and a reporter on the loopback address that answers each request for reports.
+class reports_fixture
+{
+public:
+    reports_fixture()
+        : m_socket(m_context, *this)
+        , m_events(m_context, m_rings.fromReports, *this)
+        , m_list(m_context, m_rings.directoryToReports, 1)
+        , m_timer(m_context)
+    {
+        REQUIRE_FALSE(m_socket.open({.port = REPORTER_PORT}));
+        m_socket.start();
+        m_events.start();
+        REQUIRE_FALSE(m_duty.listen());
+        m_duty.start();
+    }
+    ~reports_fixture() { m_duty.stop(); }
+
+    static auto entryOf(std::string id, std::int64_t born) -> server_entry
+    {
+        return {.id = std::move(id), .pool = "p", .address = {.port = 80}, .bornUnixMs = born};
+    }
+    /// Publishes a list and returns the server that the reporter's next report is ascribed to.
+    auto reportedServer(std::vector<server_entry> entries) -> std::string
+    {
+        m_list.push(servers_changed{std::move(entries)});
+        return awaitReport();
+    }
+    /// Publishes a list and waits until the reporter has been asked for a report.
+    auto publish(std::vector<server_entry> entries) -> void
+    {
+        m_list.push(servers_changed{std::move(entries)});
+        m_awaitsRequest = true;
+        awaitReport();
+        REQUIRE_FALSE(m_awaitsRequest);
+    }
+    /// Announces a server and returns the server that the next report is ascribed to.
+    auto announcedServer(const std::string &id) -> std::string
+    {
+        m_socket.send({.port = ENTRY_PORT}, server_news_frame{.id = id,
+                                                              .pool = "p",
+                                                              .dataCentre = "d",
+                                                              .server = "127.0.0.1:80",
+                                                              .slots = 1,
+                                                              .bornUnixMs = BORN,
+                                                              .relays = 2});
+        return awaitReport();
+    }
+
+    // --- called by the socket and the ring reader
+
+    auto onDatagram(const endpoint &from, const frame &message) -> void
+    {
+        if (std::holds_alternative<report_request_frame>(message)) {
+            m_socket.send(from, server_report_frame{.server = "127.0.0.1:80",
+                                                    .sequence = ++m_sequence,
+                                                    .answering = true,
+                                                    .bornUnixMs = BORN});
+            if (std::exchange(m_awaitsRequest, false)) {
+                m_context.stop();
+            }
+        }
+    }
+    auto handle(report_event &&event) -> void
+    {
+        if (const auto *reported = std::get_if<server_reported>(&event)) {
+            m_reported = reported->serverId;
+            m_context.stop();
+        }
+    }
+
+private:
+    // Below the range from which the kernel draws.
+    static constexpr std::uint16_t REPORTER_PORT = 26'990;
+    static constexpr std::uint16_t ENTRY_PORT = 26'991;
+    static constexpr std::chrono::seconds WAIT_LIMIT{5};
+
+    /// Empty if no report is ascribed to a server.
+    auto awaitReport() -> std::string
+    {
+        m_reported.clear();
+        m_timer.expires_after(WAIT_LIMIT);
+        m_timer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                m_context.stop();
+            }
+        });
+        m_context.restart();
+        m_context.run();
+        return m_reported;
+    }
+
+    boost::asio::io_context m_context;
+    forward_rings m_rings;
+    datagram_socket<reports_fixture> m_socket;
+    ring_reader<report_event, reports_fixture> m_events;
+    ring_writer<servers_changed> m_list;
+    boost::asio::steady_timer m_timer;
+    reports_duty m_duty{
+        {.host = "e", .listen = {.port = ENTRY_PORT}, .reporterPort = REPORTER_PORT}, m_rings};
+    std::uint64_t m_sequence = 0;
+    bool m_awaitsRequest = false;
+    std::string m_reported;
+};
+
+} // namespace
+
+// The server whose entry came first got the reports of the other one, or nobody got them: those of
+// a server that had restarted under a new id were dropped until the old entry had gone.
+TEST_CASE("a report is ascribed to the server with its start among entries that share an address")
+{
+    reports_fixture f;
+    CHECK(f.reportedServer({reports_fixture::entryOf("a-crashed", BORN - 1),
+                            reports_fixture::entryOf("b-restarted", BORN),
+                            reports_fixture::entryOf("c-odd", 0)})
+          == "b-restarted");
+}
+
+TEST_CASE("an announced server gets its reports although an old entry has its address")
+{
+    reports_fixture f;
+    f.publish({reports_fixture::entryOf("a-crashed", BORN - 1)});
+    CHECK(f.announcedServer("b-restarted") == "b-restarted");
+    CHECK(f.reportedServer({reports_fixture::entryOf("a-crashed", BORN - 1),
+                            reports_fixture::entryOf("b-restarted", BORN)})
+          == "b-restarted");
+}
