Entry: count a stop from the earliest time at which the signal can have been sent

What callers saw: an entry that was frozen when it got SIGTERM was killed in the middle of its drain: requests that it had accepted or still served ended without an answer. Cause: the platform kills a fixed time after it has sent the signal; the process counted its grace from the time at which it handled the signal. The time for the balancer to notice still runs from the handling. The forwarding duty runs timers that came due in the pause before the events that waited.

--- a/src/app/agentmain.cpp
+++ b/src/app/agentmain.cpp
@@ -78,7 +78,7 @@
     LOG(INFO) << "agent " << common.host << " stands beside the " << nameOf(settings.backend.kind)
               << " at " << toText(settings.backend.where);
 
-    const auto drain = [&] {
+    const auto drain = [&](std::chrono::milliseconds) {
         LOG(INFO) << "draining";
         admission.drain();
     };
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/pausedetector.h"
 #include "framework/settings/documentfault.h"
 #include "framework/settings/objectreader.h"
 
@@ -47,13 +48,16 @@
 {
     /// Shortest time from the order to the end, for others to notice that it leaves.
     std::chrono::milliseconds least{0};
-    /// Longest time until the last call; 0 sets none.
+    /// Longest time from the sending of the signal to the last call; 0 sets none.
     std::chrono::milliseconds most{0};
     /// Time from the last call to the end, in which the last bytes leave.
     std::chrono::milliseconds linger{200};
+    /// Tells when the signal can have been sent; null counts from its handling.
+    const pause_detector *pauses = nullptr;
 };
 
-/// Runs a started process until it is told to stop. The first SIGTERM or SIGINT calls `drain()`
+/// Runs a started process until it is told to stop. The first SIGTERM or SIGINT calls
+/// `drain(sinceSignal)` with the longest time for which the signal may have waited to be handled,
 /// and waits until `drained()`; then `lastCall()` ends the taking of requests, and the process
 /// lingers so that answers leave. A second signal ends the wait. SIGHUP calls `reload()`. Returns
 /// the exit code.
@@ -61,24 +65,28 @@
 auto runUntilStopped(stop_options options, Drain &&drain, Drained &&drained, LastCall &&lastCall,
                      Reload &&reload) -> int
 {
-    using clock = std::chrono::steady_clock;
     constexpr std::chrono::milliseconds DRAIN_CHECK{50};
     boost::asio::io_context context;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     boost::asio::signal_set reloads(context, SIGHUP);
     boost::asio::steady_timer timer(context);
-    clock::time_point toldAt;
-    std::optional<clock::time_point> lastCalledAt;
+    const system_clock_source clock;
+    time_us handledAt;
+    time_us sentAt;
+    std::optional<time_us> lastCalledAt;
     int exitCode = 0;
     // Work that was taken just before the last call is waited for as well.
     const auto ended = [&]() -> bool {
-        const auto now = clock::now();
-        const auto late = options.most.count() > 0 && now - toldAt >= options.most;
-        if (!lastCalledAt && (late || (now - toldAt >= options.least && drained()))) {
+        const auto now = clock.now();
+        const auto passed = [&](time_us since, std::chrono::microseconds limit) {
+            return now - since >= limit.count();
+        };
+        const auto late = options.most.count() > 0 && passed(sentAt, options.most);
+        if (!lastCalledAt && (late || (passed(handledAt, options.least) && drained()))) {
             lastCalledAt = now;
             lastCall();
         }
-        return lastCalledAt && now - *lastCalledAt >= options.linger && (late || drained());
+        return lastCalledAt && passed(*lastCalledAt, options.linger) && (late || drained());
     };
     const auto check = [&](auto &&self) -> void {
         timer.expires_after(DRAIN_CHECK);
@@ -100,8 +108,9 @@
     };
     awaitReload(awaitReload);
     signals.async_wait([&](boost::system::error_code, int) {
-        toldAt = clock::now();
-        drain();
+        handledAt = clock.now();
+        sentAt = options.pauses ? options.pauses->earliestSignalTime(handledAt) : handledAt;
+        drain(std::chrono::milliseconds((handledAt - sentAt) / US_PER_MS));
         check(check);
         signals.async_wait([&](boost::system::error_code, int) {
             exitCode = EXIT_HURRIED;
--- a/src/app/entrymain.cpp
+++ b/src/app/entrymain.cpp
@@ -77,7 +77,7 @@
     LOG(INFO) << "entry " << common.host << " serves callers on "
               << toText(settings.callers.listen);
 
-    const auto drain = [&] {
+    const auto drain = [&](std::chrono::milliseconds) {
         LOG(INFO) << "draining";
         state.draining = true;
         boost::asio::io_context waiting;
--- a/src/configuration/processstate.h
+++ b/src/configuration/processstate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "framework/global/pausedetector.h"
+
 #include <atomic>
 
 namespace marjoram {
@@ -11,6 +13,7 @@
     std::atomic<bool> draining{false};
     /// Nothing is in flight any more, so a draining process may exit.
     std::atomic<bool> drained{false};
+    pause_detector pauses;
 };
 
 } // namespace marjoram
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -114,6 +114,17 @@
         toCaller(close_after_responses{});
         updateAfterEvent();
     }
+    /// Runs the timers that came due while the process was paused: an event must not act on a
+    /// request whose deadline has passed. Called before every event.
+    auto runDueTimers() -> void
+    {
+        const auto now = clock.now();
+        state.pauses.noteActive(now);
+        const auto next = core.nextTimer();
+        if (next && *next <= now) {
+            core.onTimer();
+        }
+    }
     /// Updates the metrics and the timer; called after every event.
     auto updateAfterEvent() -> void
     {
@@ -130,8 +141,7 @@
             timer.cancel();
             return;
         }
-        const auto us = std::max<std::int64_t>(0, *next - clock.now());
-        timer.expires_after(std::chrono::microseconds(us));
+        timer.expires_after(durationUntil(*next, clock.now()));
         timer.async_wait([this](boost::system::error_code error) {
             if (error) {
                 return;
@@ -198,6 +208,7 @@
 
 auto forwarding_duty::handle(forward_event &&event) -> void
 {
+    m_impl->runDueTimers();
     if (const auto *opened = std::get_if<forward_requested>(&event)) {
         m_metrics.add(forwarding_metric::forwarded);
         m_impl->core.onRequest(*opened);
@@ -209,12 +220,14 @@
 
 auto forwarding_duty::handle(server_event &&event) -> void
 {
+    m_impl->runDueTimers();
     m_impl->core.onEvent(std::move(event));
     m_impl->updateAfterEvent();
 }
 
 auto forwarding_duty::handle(directory_event &&event) -> void
 {
+    m_impl->runDueTimers();
     std::visit([this](auto &&one) { m_impl->on(std::forward<decltype(one)>(one)); },
                std::move(event));
     m_impl->updateAfterEvent();
@@ -222,6 +235,7 @@
 
 auto forwarding_duty::handle(report_event &&event) -> void
 {
+    m_impl->runDueTimers();
     if (auto *reported = std::get_if<server_reported>(&event)) {
         m_impl->core.onReport(reported->serverId, std::move(reported->report));
     } else if (auto *replied = std::get_if<room_replied>(&event)) {
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -67,9 +67,10 @@
         bool announced = false;
     };
 
-    impl(reports_options given, forward_rings &rings, metric_set<reports_metric> &numbers,
-         reports_duty &outer)
+    impl(reports_options given, forward_rings &rings, process_state &sharedState,
+         metric_set<reports_metric> &numbers, reports_duty &outer)
         : options(std::move(given))
+        , state(sharedState)
         , metrics(numbers)
         , servers(worker.context(), rings.directoryToReports, outer)
         , commands(worker.context(), rings.toReports, outer)
@@ -262,11 +263,12 @@
     }
     auto requestReports() -> void
     {
+        state.pauses.noteActive(clock.now());
         ++round;
-        for (auto &[address, state] : reporters) {
-            if (state.unansweredRequests < options.unansweredRequestLimit
+        for (auto &[address, reporter] : reporters) {
+            if (reporter.unansweredRequests < options.unansweredRequestLimit
                 || round % options.retryRounds == 0) {
-                requestReport(state);
+                requestReport(reporter);
             }
         }
         timer.expires_after(std::chrono::microseconds(options.requestIntervalUs));
@@ -278,6 +280,7 @@
     }
 
     reports_options options;
+    process_state &state;
     system_clock_source clock;
     metric_set<reports_metric> &metrics;
     duty worker{"reports"};
@@ -294,8 +297,8 @@
     std::set<std::pair<std::string, std::int64_t>> seenAnnouncements;
 };
 
-reports_duty::reports_duty(reports_options options, forward_rings &rings)
-    : m_impl(std::make_unique<impl>(std::move(options), rings, m_metrics, *this))
+reports_duty::reports_duty(reports_options options, forward_rings &rings, process_state &state)
+    : m_impl(std::make_unique<impl>(std::move(options), rings, state, m_metrics, *this))
 { }
 
 reports_duty::~reports_duty()
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/processstate.h"
 #include "forwarding/forwardrings.h"
 #include "framework/global/clock.h"
 #include "framework/metrics/metricset.h"
@@ -51,8 +52,8 @@
 class reports_duty
 {
 public:
-    /// Precondition: rings outlive the duty.
-    reports_duty(reports_options options, forward_rings &rings);
+    /// Precondition: rings and state outlive the duty.
+    reports_duty(reports_options options, forward_rings &rings, process_state &state);
     ~reports_duty();
 
     /// Opens the socket. Errors: those of the socket calls. Call before start().
