marjoram-entry: answer what arrives at its end, and handle signals while the balancer notices

What callers saw: a request that was being read when the entry had drained ended with its connection; kept connections were never told to close. A second signal in balancer_delay_ms cut everything. Cause: the drain waited for the balancer by blocking the main thread. A signal interrupted that wait with an exception that nobody caught, so a second SIGTERM (or any signal with a handler) aborted the process. And the process ended 200 ms after the last generation and call, whatever the connections did. Change: the wait is the stop's own; after it new requests are refused and answers close their connections. Once none is in flight the listener and idle connections close, and the entry ends when all that arrived is answered.

--- a/src/app/entrymain.cpp
+++ b/src/app/entrymain.cpp
@@ -77,18 +77,30 @@
     LOG(INFO) << "entry " << common.host << " serves callers on "
               << toText(settings.callers.listen);
 
+    bool refusing = false;
+    bool closing = false;
     const auto drain = [&](std::chrono::milliseconds) {
         LOG(INFO) << "draining";
         state.draining = true;
-        boost::asio::io_context waiting;
-        boost::asio::steady_timer balancer(waiting,
-                                           std::chrono::milliseconds(settings.balancerDelayMs));
-        balancer.wait();
+    };
+    const auto refuseNew = [&] {
+        refusing = true;
+        callers.closeAfterAnswers();
         dispatch.drain();
     };
+    // New requests are served until the balancer has noticed, then refused. Once none is in flight,
+    // the connections close.
+    const auto drained = [&] {
+        if (refusing && !closing && state.drained) {
+            closing = true;
+            callers.stopAccepting();
+        }
+        return !refusing || callers.allAnswered();
+    };
     const auto reload = [] { LOG(INFO) << "settings are read at the start only"; };
-    const auto exitCode = runUntilStopped(
-        {}, drain, [&] { return state.drained.load(); }, [] {}, reload);
+    const auto exitCode
+        = runUntilStopped({.least = std::chrono::milliseconds(settings.balancerDelayMs)}, drain,
+                          drained, refuseNew, reload);
     LOG(INFO) << "stopped";
     callers.stop();
     dispatch.stop();
--- a/src/callers/callersduty.h
+++ b/src/callers/callersduty.h
@@ -67,6 +67,14 @@
     auto listen() -> result<endpoint>;
     auto start() -> void;
     auto stop() -> void;
+    /// From now on each answer closes its connection. Thread safe.
+    auto closeAfterAnswers() -> void;
+    /// Stops accepting connections and closes idle ones; requests that are arriving are answered.
+    /// Thread safe.
+    auto stopAccepting() -> void;
+    /// Whether all requests that arrived before stopAccepting() have their whole answers. Thread
+    /// safe.
+    auto allAnswered() const -> bool;
     /// Adds a source of metrics to /metrics. Precondition: called before start().
     auto addMetrics(metrics_source source) -> void;
     /// Thread safe.
--- a/src/callers/internal/callersduty.cpp
+++ b/src/callers/internal/callersduty.cpp
@@ -4,6 +4,8 @@
 #include "framework/http/httpserver.h"
 #include "framework/ring/ringends.h"
 
+#include <atomic>
+#include <boost/asio/post.hpp>
 #include <glog/logging.h>
 #include <unordered_map>
 
@@ -21,6 +23,7 @@
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_TOO_LARGE = 413;
 constexpr int HTTP_HEADERS_TOO_LARGE = 431;
+constexpr int HTTP_UNAVAILABLE = 503;
 
 auto plainText(int status, std::string body) -> http_response
 {
@@ -108,8 +111,9 @@
     auto refusal(int status) -> http_response
     {
         const auto large = status == HTTP_TOO_LARGE || status == HTTP_HEADERS_TOO_LARGE;
+        const auto refused = large ? failure::too_large : failure::malformed_request;
         auto out
-            = failureResponse({.reason = large ? failure::too_large : failure::malformed_request});
+            = failureResponse({.reason = status == HTTP_UNAVAILABLE ? failure::draining : refused});
         out.status = status;
         return out;
     }
@@ -329,6 +333,7 @@
     ring_writer<caller_event> events;
     ring_reader<caller_action, callers_duty> actions;
     ring<span> &spans;
+    std::atomic<bool> accepting{true};
     system_clock_source clock;
     random_source random{systemSeed()};
     std::unordered_map<std::uint64_t, caller_state> callers;
@@ -361,6 +366,25 @@
     m_impl->worker.stop();
 }
 
+auto callers_duty::closeAfterAnswers() -> void
+{
+    boost::asio::post(m_impl->worker.context(), [this] { m_impl->server.closeAfterAnswers(); });
+}
+
+auto callers_duty::stopAccepting() -> void
+{
+    boost::asio::post(m_impl->worker.context(), [this] {
+        m_impl->server.stopListening();
+        m_impl->server.closeIdle();
+        m_impl->accepting = false;
+    });
+}
+
+auto callers_duty::allAnswered() const -> bool
+{
+    return !m_impl->accepting && m_impl->server.busy() == 0;
+}
+
 auto callers_duty::addMetrics(metrics_source source) -> void
 {
     m_impl->sources.push_back(source);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -8,7 +8,7 @@
 WORK=$(mktemp -d)
 # Each case has its own ports, below those that the system hands out by itself.
 CASES=(path badinput settings engineloss agentloss agentpause entryloss drain reclaim
-    configuration bookings flood)
+    configuration bookings flood hurried lastrequest)
 for index in "${!CASES[@]}"; do
     [ "${CASES[$index]}" = "${1:-}" ] && BASE=$((12000 + 200 * index))
 done
@@ -220,6 +220,38 @@
     await 20 process_gone entry-1 || exit 1
     check "and ends" 'process_gone entry-1'
 }
+
+# The wait for the balancer blocked the main thread. A signal meanwhile interrupted it with an
+# exception, which ended the process with what it served.
+case_hurried() {
+    start_fleet 1 1 0 || exit 1
+    stop_process entry-1 KILL
+    start_entry 1 '.balancer_delay_ms = 60000'
+    await 20 entry_ready 1 || exit 1
+    kill -TERM "${PIDS[entry-1]}"
+    await 10 entry_not_ready || exit 1
+    check "an entry serves while the balancer notices" \
+        '[ "$(complete_once 1 "[len=3]" | jq -r .usage.completion_tokens)" = 3 ]'
+    local code=0
+    kill -TERM "${PIDS[entry-1]}"
+    wait "${PIDS[entry-1]}" || code=$?
+    check "a second signal ends the wait for the balancer" '[ "$code" = 4 ]'
+}
+
+# A request that was half read when the entry had drained was dropped without an answer.
+case_lastrequest() {
+    start_fleet 1 1 0 || exit 1
+    exec 3<>"/dev/tcp/127.0.0.1/$(entry_port 1)"
+    printf 'POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{"model"' >&3
+    await 10 entry_ready 1 || exit 1
+    kill -TERM "${PIDS[entry-1]}"
+    timeout 10 cat <&3 >"$WORK/answer" || :
+    exec 3>&-
+    check "a request that is arriving when an entry ends is refused" \
+        'head -1 "$WORK/answer" | grep -q "^HTTP/1.1 503"'
+    check "as draining" 'grep -q draining "$WORK/answer"'
+    await 20 process_gone entry-1 || exit 1
+}
 process_gone() { ! kill -0 "${PIDS[$1]}" 2>/dev/null; }
 entry_not_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "$(url 1)/readyz")" = 503 ]; }
 
