Serverviews: a server that asks for a pause gets no requests until it ends

An overloaded backend server turns a request away with 503 and states in Retry-After for how long it wants none from this entry. Entries ignored the time: the next request, or the repeat of another one, was sent there at once, and a 503 that did not state that the request was not run counted towards ejection.

The later of overlapping pauses holds; a pause ends by itself or with the process, and survives a gap in the published list. Placement, repeats of slow requests and targets of moves pass over a paused server; a granted request is not sent to one that has paused meanwhile; a move whose target pauses before the run is stopped gets another target. Waiting for a server uses the existing path of rate limits, which now takes the later of limit and pause: if nothing is available in time, the request is refused at once as not run, with the time to return. The same holds now for limits where it was missing: a slow request is not cancelled if no other server may get it, and an at-most-once request uses a server on probation if all others must wait. The reporter waits as well before it asks again for the identity of a server.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -253,7 +253,7 @@
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
         if (m_directory.poolSize(pool) == 0 || m_directory.allLeaving(pool)) {
             failRequest(request, failure::no_backend_server, ran);
-        } else if (const auto until = m_directory.limitedUntil(pool, m_clock.now())) {
+        } else if (const auto until = m_directory.unavailableUntil(pool, m_clock.now())) {
             failRequest(request, failure::rate_limited, ran, until);
         } else {
             failRequest(request, failure::overloaded, ran);
@@ -350,7 +350,10 @@
             m_quarantine.onRunProgress(*request, true);
         }
         const auto failed = answered.head.status >= SERVER_ERROR;
-        m_servers.onOutcome(*request, !failed);
+        // A server that asks for a pause is overloaded, not broken.
+        if (!answered.head.retryAfterMs) {
+            m_servers.onOutcome(*request, !failed);
+        }
         if (failed && mayRetry(*request) && retry(*request, "server_error")) {
             return;
         }
@@ -580,6 +583,18 @@
         failRequest(request, sent ? failure::deadline_exceeded : failure::would_miss_deadline,
                     sent || request.attempts > 0 ? run_state::unknown : run_state::not_run);
     }
+    /// Whether a server that the request has not been sent to may get it now.
+    auto hasAlternative(const request_state &request) const -> bool
+    {
+        const auto now = m_clock.now();
+        const auto servers = m_directory.usableServers(request.pool->name, now);
+        const auto &excluded = request.excludedServers;
+        return std::any_of(servers.begin(), servers.end(), [&](const server_view *view) {
+            const auto &id = view->entry.id;
+            return id != request.run.serverId && view->availableAt() <= now
+                   && std::find(excluded.begin(), excluded.end(), id) == excluded.end();
+        });
+    }
     /// Retries a slow repeatable request on another server.
     auto onHedgeTimeout(request_state &request) -> void
     {
@@ -587,8 +602,7 @@
             return;
         }
         ++request.attempts;
-        if (!mayRetry(request)
-            || m_directory.usableServers(request.pool->name, m_clock.now()).size() < 2
+        if (!mayRetry(request) || !hasAlternative(request)
             || !retryBudgetOf(*request.pool).tryAcquire(m_clock.now(), m_entryCount.count())) {
             --request.attempts;
             return;
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -235,6 +235,8 @@
     bool wrongServer = false;
     /// The server states that it is about to shut down.
     bool leaving = false;
+    /// Time for which the server wants no requests from this entry, if it states one.
+    std::optional<std::int64_t> retryAfterMs;
     std::optional<load_sample> load;
     /// Requests per 1,000 seconds that the server accepts from all entries together; 0 if it states
     /// no limit.
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -106,7 +106,8 @@
     static auto hasRoom(const placement_query &query, const server_view &view) -> bool
     {
         // The target of a move is limited by its reporter.
-        if (!query.moving && view.limitedUntil > query.now) {
+        const auto availableAt = query.moving ? view.pausedUntil : view.availableAt();
+        if (availableAt > query.now) {
             return false;
         }
         if (!query.generation || !query.pool->engine) {
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -76,7 +76,10 @@
         auto &roomRequest = request->roomRequest;
         roomRequest.lastVerdict = replied.verdict;
         m_host.observe(latency_kind::room_request, m_clock.now() - roomRequest.askedAt);
-        if (replied.verdict == room_verdict::granted) {
+        // Answers to other requests may have changed what is known of the server.
+        const auto *view = m_directory.find(roomRequest.serverId);
+        const auto closed = view && (view->leaving() || view->pausedUntil > m_clock.now());
+        if (replied.verdict == room_verdict::granted && !closed) {
             m_host.send(*request, std::string(roomRequest.serverId), endpoint(roomRequest.server),
                         std::nullopt);
             return;
@@ -238,11 +241,11 @@
                         {"questions", static_cast<std::int64_t>(request.roomRequest.count)},
                         {"room", std::string(nameOf(request.roomRequest.lastVerdict))}});
         }
-        // Waiting is useless if all servers are leaving or their limits last longer: then the
+        // Waiting is useless if all servers are leaving or will be unavailable for longer: then the
         // caller is told at once when to retry.
         const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
-        const auto limitedUntil = m_directory.limitedUntil(pool, now);
-        if (now >= *request.waitUntil || (limitedUntil && *limitedUntil > *request.waitUntil)
+        const auto availableAt = m_directory.unavailableUntil(pool, now);
+        if (now >= *request.waitUntil || (availableAt && *availableAt > *request.waitUntil)
             || m_directory.allLeaving(pool)) {
             m_host.onPlacementFailed(request);
             return;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -321,6 +321,12 @@
         auto &move = *request.move;
         switch (done.outcome) {
         case copy_outcome::copied:
+            if (isPaused(move.targetId)) {
+                // The run still has its source. Once it is stopped it resumes at the target anyway.
+                m_host.toServer(release_kv_copy{kvCopyOf(request, done.handle)});
+                tryNextTarget(request);
+                break;
+            }
             move.handle = done.handle;
             move.copiedAt = m_clock.now();
             move.stopOrderedAt = move.copiedAt;
@@ -334,13 +340,22 @@
             break;
         case copy_outcome::no_room:
         case copy_outcome::failed:
-            request.refusedTargets.push_back(move.targetId);
-            releaseTarget(request);
-            request.move.reset();
-            beginMove(request);
+            tryNextTarget(request);
             break;
         }
     }
+    auto isPaused(const std::string &id) const -> bool
+    {
+        const auto *view = m_directory.find(id);
+        return view && view->pausedUntil > m_clock.now();
+    }
+    auto tryNextTarget(request_state &request) -> void
+    {
+        request.refusedTargets.push_back(request.move->targetId);
+        releaseTarget(request);
+        request.move.reset();
+        beginMove(request);
+    }
     auto onFinalCopied(request_state &request, const run_copied &done) -> void
     {
         auto &move = *request.move;
--- a/src/forwarding/serverobserver.h
+++ b/src/forwarding/serverobserver.h
@@ -41,6 +41,7 @@
             return false;
         }
         updateRateLimit(id, head);
+        updatePause(id, head);
         return head.leaving && m_directory.onStatedLeaving(id);
     }
     /// Counts the outcome of a request's present run towards the health of its server.
@@ -87,6 +88,15 @@
         logRateLimitChange(id, limitBefore, "answer");
         m_sink.toReporter(share_rate_limit{.serverId = id, .milliPerSecond = head.milliRateLimit});
     }
+    auto updatePause(const std::string &id, const response_head &head) -> void
+    {
+        if (head.retryAfterMs && m_directory.onRetryAfter(id, *head.retryAfterMs, m_clock.now())) {
+            const auto *view = m_directory.find(id);
+            m_sink.log(
+                log_event::server_paused, {},
+                {{"server", id}, {"for_ms", (view->pausedUntil - m_clock.now()) / US_PER_MS}});
+        }
+    }
     auto rateLimitOf(const std::string &id) const -> std::uint64_t
     {
         const auto *view = m_directory.find(id);
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -202,11 +202,13 @@
         return m_announceUntil && !m_identity && !m_options.entries.empty()
                && m_clock.now() >= m_identityAt;
     }
-    /// Takes the server's identity; nullopt if the request failed.
-    auto onIdentity(std::optional<server_identity> identity) -> void
+    /// Takes the server's identity; nullopt if the request failed. A server that was too busy to
+    /// return it may ask for a longer pause before the next request.
+    auto onIdentity(std::optional<server_identity> identity, std::int64_t retryAfterMs = 0) -> void
     {
         m_identity = std::move(identity);
-        m_identityAt = m_clock.now() + m_options.identityRetryUs;
+        m_identityAt
+            = m_clock.now() + std::max(m_options.identityRetryUs, retryAfterMs * US_PER_MS);
         announce();
     }
     auto onReport(const server_report &seen) -> void
@@ -278,6 +280,7 @@
         const auto ageMs = std::abs(m_clock.unixMs() - seen.bornUnixMs);
         m_identity.reset();
         m_announceUntil.reset();
+        m_identityAt = {};
         if (before) {
             forgetRateLimit();
         }
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -29,6 +29,9 @@
     {
         C::decodeIdentity(head)
         } -> std::same_as<std::optional<server_identity>>;
+    {
+        C::retryAfterMs(head)
+        } -> std::same_as<std::optional<std::int64_t>>;
 };
 
 /// Request that a reporter sends to its backend server.
@@ -107,6 +110,7 @@
     {
         if (m_query == reporter_query::identity) {
             m_identity = Codec::decodeIdentity(head);
+            m_retryAfterMs = Codec::retryAfterMs(head);
         }
         return head_verdict::take;
     }
@@ -144,6 +148,7 @@
         m_answered = false;
         m_query = m_core.wantsIdentity() ? reporter_query::identity : reporter_query::report;
         m_identity.reset();
+        m_retryAfterMs.reset();
         if (!m_channel) {
             const std::chrono::milliseconds limit(m_options.answerTimeoutMs);
             m_channel = std::make_shared<channel>(
@@ -174,7 +179,7 @@
             m_log.write(log_event::server_unnamed,
                         {{"server", toText(m_options.server)}, {"error", error.message()}});
         }
-        m_core.onIdentity(std::move(m_identity));
+        m_core.onIdentity(std::move(m_identity), m_retryAfterMs.value_or(0));
         startTimer(m_core.nextPollDelayUs(), [this] { poll(); });
     }
     auto finishReport(const result<server_report> &report) -> void
@@ -213,6 +218,7 @@
     std::string m_body;
     reporter_query m_query = reporter_query::report;
     std::optional<server_identity> m_identity;
+    std::optional<std::int64_t> m_retryAfterMs;
     bool m_answered = false;
     bool m_lost = false;
 };
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -181,6 +181,17 @@
     CHECK(f.sink.announcements.empty());
 }
 
+TEST_CASE("a server that is too busy to return its identity is asked again after its pause")
+{
+    fixture f;
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    f.core.onIdentity(std::nullopt, 3'000);
+    f.advance(2'900);
+    CHECK_FALSE(f.core.wantsIdentity());
+    f.advance(200);
+    CHECK(f.core.wantsIdentity());
+}
+
 TEST_CASE("the announcement of another server is forwarded to the listeners")
 {
     fixture f;
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -52,7 +52,8 @@
             view.unlistedAt = now;
             out.unlisted.push_back(id);
         }
-        if (view.inFlight > 0 || now - *view.unlistedAt < m_options.unlistedRetentionUs) {
+        if (view.inFlight > 0 || view.pausedUntil > now
+            || now - *view.unlistedAt < m_options.unlistedRetentionUs) {
             kept.emplace(id, std::move(view));
         } else {
             out.gone.push_back(id);
@@ -110,6 +111,20 @@
     return !wasLeaving;
 }
 
+auto server_directory::onRetryAfter(const std::string &id, std::int64_t retryAfterMs, time_us now)
+    -> bool
+{
+    auto *view = findMutable(id);
+    if (!view) {
+        return false;
+    }
+    const auto wasPaused = view->pausedUntil > now;
+    const auto pauseUs = std::min(retryAfterMs, m_options.maxPauseUs / US_PER_MS) * US_PER_MS;
+    // An earlier answer may have stated a later end, which still holds.
+    view->pausedUntil = std::max(view->pausedUntil, now + pauseUs);
+    return !wasPaused && view->pausedUntil > now;
+}
+
 auto server_directory::onLoad(const std::string &id, const load_sample &load, time_us now) -> void
 {
     if (auto *view = findMutable(id)) {
@@ -284,7 +299,7 @@
         if (view.ejectedUntil <= now) {
             healthy.push_back(&view);
         }
-        if (view.ejectedUntil <= now && !view.onProbation) {
+        if (view.ejectedUntil <= now && !view.onProbation && view.availableAt() <= now) {
             trusted.push_back(&view);
         }
     }
@@ -294,15 +309,16 @@
     return healthy.empty() ? all : healthy;
 }
 
-auto server_directory::limitedUntil(std::string_view pool, time_us now) const
+auto server_directory::unavailableUntil(std::string_view pool, time_us now) const
     -> std::optional<time_us>
 {
     std::optional<time_us> out;
     for (const auto *view : usableServers(pool, now)) {
-        if (view->limitedUntil <= now) {
+        const auto at = view->availableAt();
+        if (at <= now) {
             return std::nullopt;
         }
-        out = std::min(out.value_or(view->limitedUntil), view->limitedUntil);
+        out = std::min(out.value_or(at), at);
     }
     return out;
 }
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -36,6 +36,9 @@
     std::int64_t goneRetentionUs = 60 * US_PER_SECOND;
     /// A server whose last report is older has no reporter that grants requests within its limit.
     std::int64_t granterReportMaxAgeUs = 1 * US_PER_SECOND;
+    /// Longest time for which a server may ask for no requests. An overloaded server recovers
+    /// sooner; with a longer time, a wrong one would make it useless until it is replaced.
+    std::int64_t maxPauseUs = 300 * US_PER_SECOND;
     /// Pause before a reporter is told of the same limit again.
     std::int64_t rateLimitShareIntervalUs = 500 * US_PER_MS;
 };
@@ -77,6 +80,9 @@
     /// An answer of the server states that it is leaving. This holds until its process is replaced.
     /// Returns true if the server was not known to be leaving.
     auto onStatedLeaving(const std::string &id) -> bool;
+    /// The server has turned a request away and wants no others for so long. Returns true if it was
+    /// not paused. Precondition: retryAfterMs >= 0.
+    auto onRetryAfter(const std::string &id, std::int64_t retryAfterMs, time_us now) -> bool;
     auto onLoad(const std::string &id, const load_sample &load, time_us now) -> void;
     /// Takes the rate limit that an answer of the server states, 0 if none. Returns true if the
     /// server's reporter should learn of it.
@@ -96,14 +102,15 @@
     // --- questions
 
     auto find(std::string_view id) const -> const server_view *;
-    /// Returns the servers of a pool that may get new work; with `trustedOnly` only those without
-    /// an ejection since their last success. Falls back to ejected servers if no other is left. The
-    /// pointers are valid until the next event.
+    /// Returns the servers of a pool that may get new work, now or after their limits and pauses.
+    /// With `trustedOnly` only those that may now and have had no ejection since their last
+    /// success, if there are any. Falls back to ejected servers if no other is left. The pointers
+    /// are valid until the next event.
     auto usableServers(std::string_view pool, time_us now, bool trustedOnly = false) const
         -> std::vector<const server_view *>;
-    /// Returns when the first server of a pool may get a request within its limit; nullopt if one
-    /// may now.
-    auto limitedUntil(std::string_view pool, time_us now) const -> std::optional<time_us>;
+    /// Returns when the first server of a pool may get a request, by limits and pauses; nullopt if
+    /// one may now.
+    auto unavailableUntil(std::string_view pool, time_us now) const -> std::optional<time_us>;
     /// Whether all servers of a pool are leaving; false if it has none.
     auto allLeaving(std::string_view pool) const -> bool;
     /// Number of servers of a pool in any state.
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -4,6 +4,7 @@
 #include "limits/ratelimiter.h"
 #include "serverviews/serverentry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -53,6 +54,9 @@
     /// It gets no new work until then, to keep to its limit.
     time_us limitedUntil;
 
+    /// The server has turned a request away and wants no others until then.
+    time_us pausedUntil;
+
     // --- health
     /// Moving average of failed requests, weighted towards recent ones.
     double failureRate = 0.0;
@@ -63,6 +67,8 @@
     bool onProbation = false;
     time_us ejectedUntil;
 
+    /// When it may get a request, by its limit and its pause.
+    auto availableAt() const -> time_us { return std::max(limitedUntil, pausedUntil); }
     /// Whether it gets no new work because it is about to shut down.
     auto leaving() const -> bool
     {
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -161,3 +161,55 @@
     directory.onServerList({listed}, {});
     CHECK(directory.usableServers("engines", {}).empty());
 }
+
+TEST_CASE("a server's pause ends at the latest time stated, and with its process")
+{
+    server_directory directory({});
+    directory.onServerList({entryOf("a")}, {});
+    CHECK(directory.onRetryAfter("a", 5'000, {}));
+    CHECK_FALSE(directory.onRetryAfter("a", 1'000, {}));
+    CHECK(directory.unavailableUntil("engines", {}) == time_us{5 * US_PER_SECOND});
+    directory.recordSuccess("a");
+    CHECK(directory.unavailableUntil("engines", {}));
+    CHECK_FALSE(directory.unavailableUntil("engines", {5 * US_PER_SECOND}));
+
+    SUBCASE("an endless pause is bounded")
+    {
+        CHECK(directory.onRetryAfter("a", 1'000'000'000'000, {6 * US_PER_SECOND}));
+        CHECK(directory.unavailableUntil("engines", {6 * US_PER_SECOND})
+              == time_us{306 * US_PER_SECOND});
+    }
+    SUBCASE("no pause is none")
+    {
+        CHECK_FALSE(directory.onRetryAfter("a", 0, {6 * US_PER_SECOND}));
+        CHECK_FALSE(directory.unavailableUntil("engines", {6 * US_PER_SECOND}));
+    }
+    SUBCASE("a new process has none")
+    {
+        auto next = entryOf("a");
+        next.bornUnixMs = 7;
+        directory.onServerList({next}, {});
+        CHECK_FALSE(directory.unavailableUntil("engines", {}));
+    }
+    SUBCASE("a process that was missing from the list for a while still has it")
+    {
+        directory.onRetryAfter("a", 60'000, {});
+        directory.onServerList({}, {});
+        directory.onServerList({}, {20 * US_PER_SECOND});
+        directory.onServerList({entryOf("a")}, {21 * US_PER_SECOND});
+        CHECK(directory.unavailableUntil("engines", {21 * US_PER_SECOND})
+              == time_us{60 * US_PER_SECOND});
+    }
+}
+
+TEST_CASE("a server with a limit and a pause is available after the later of both")
+{
+    server_directory directory({});
+    directory.onServerList({entryOf("a"), entryOf("b")}, {});
+    directory.onRetryAfter("a", 5'000, {});
+    directory.onRateLimit("a", 1, {});
+    CHECK_FALSE(directory.unavailableUntil("engines", {}));
+    directory.onRetryAfter("b", 1'000, {});
+    CHECK(directory.unavailableUntil("engines", {}) == time_us{1 * US_PER_SECOND});
+    CHECK(directory.find("a")->availableAt() >= time_us{5 * US_PER_SECOND});
+}
