Configuration: a refused document is read again after a pause

The configuration service got calls without a pause from each process that watches it, from the publication of a bad document until that of a good one.

Cause: a document that is refused does not advance the version that the next call names, so the service gave the same document at once, and the watch asked again at once.

Change: after a document that does not advance the version, the watch pauses as after a failure.

The regression test is "a document that is refused is read again after a pause".

--- a/src/publications/documentwatch.h
+++ b/src/publications/documentwatch.h
@@ -61,12 +61,17 @@
         constexpr int NO_CONTENT = 204;
         m_fetch.reset();
         if (outcome.error || (outcome.status != OK && outcome.status != NO_CONTENT)) {
-            scheduleRead(
-                std::chrono::milliseconds(1 + m_random() % m_options.maxRetryDelay.count()));
+            retryLater();
             return;
         }
         if (outcome.status == OK) {
+            const auto before = m_owner.versionOf(*this);
             m_owner.onDocument(*this, m_body);
+            if (m_owner.versionOf(*this) == before) {
+                // The owner refused the document, and the service would give it again at once.
+                retryLater();
+                return;
+            }
         } else {
             m_owner.onConfirmed(*this);
         }
@@ -90,6 +95,10 @@
             m_context, *this, fetch_options{.readTimeout = timeout, .totalTimeout = timeout});
         m_fetch->start(m_options.service, {.target = std::move(target)});
     }
+    auto retryLater() -> void
+    {
+        scheduleRead(std::chrono::milliseconds(1 + m_random() % m_options.maxRetryDelay.count()));
+    }
     auto scheduleRead(std::chrono::milliseconds pause) -> void
     {
         m_timer.expires_after(pause);
