Forwarding: a resumed stream that is given up is no longer moved

Cause: a run whose server was leaving could be copied already when its stream turned out to skip events. The move went on beside the run that replaced it.

Change: the move is abandoned first.

The regression test is "a resumed stream that skips events is no longer moved".

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -467,6 +467,7 @@
     /// missing, or it ended without any. Whether the stream is complete is unknown.
     auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
     {
+        m_mover.abandon(request);
         cancelExchange(request);
         m_servers.onOutcome(request, false);
         if (!mayRetry(request) || !retry(request, cause)) {
--- a/src/forwarding/tests/resumedstreamtests.cpp
+++ b/src/forwarding/tests/resumedstreamtests.cpp
@@ -102,6 +102,19 @@
     CHECK(f.sink.servers<cancel_exchange>().size() == 1);
 }
 
+// The move of the unusable run would have gone on beside the run that replaces it.
+TEST_CASE("a resumed stream that skips events is no longer moved")
+{
+    resumed_fixture f({1, 2, 3});
+    f.beginStream();
+    f.reportLeaving();
+    REQUIRE(f.copyCommands() == 1);
+    f.send({6});
+    f.completeCopy(copy_outcome::copied, "h1");
+    CHECK(f.copyCommands() == 1);
+    f.checkAborted("1;2;3;");
+}
+
 TEST_CASE("ids that grow by more than one are not taken for a gap")
 {
     resumed_fixture f({4, 8, 12});
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -324,7 +324,8 @@
         }
         return bytes > m_options.totalBodyLimitBytes;
     }
-    auto identify(exchange_state &exchange, const channel_head &head) -> answer_identity
+    static auto identify(const exchange_state &exchange, const channel_head &head)
+        -> answer_identity
     {
         switch (exchange.kind) {
         case exchange_kind::forward: {
