Forwarding: runs leave a server that states so although its reports show it as ready

A run moves when the fresh report of its leaving server gives it the turn. If the server states only in its answers that it is leaving, its reports give no turns, so its runs stayed until it shut down. They now move without a turn after the time that a first report may take, as for a reporter that falls silent.

The second subcase of the new test failed before: no copy was ordered. It passes now; forwarding_tests and reporting_tests pass.

--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -83,7 +83,7 @@
         }
         const auto now = m_clock.now();
         const auto *source = m_directory.find(request.run.serverId);
-        if (source && hasFreshReport(*source)) {
+        if (source && hasFreshReport(*source) && reportsTurns(*source)) {
             if (source->report->turn != request.request->requestId) {
                 // The next report triggers another attempt; the timer covers a reporter that falls
                 // silent.
@@ -183,6 +183,12 @@
     {
         return view.report && m_clock.now() - view.reportAt < m_options.reportMaxAgeUs;
     }
+    /// Whether the reports of a server say whose turn it is. They do not while they show a server
+    /// as ready that has stated in an answer that it is leaving.
+    static auto reportsTurns(const server_view &view) -> bool
+    {
+        return view.reportedLeaving || !view.statedLeavingBornUnixMs;
+    }
     /// Returns when a run may move although no fresh report says whose turn it is. A server that
     /// has reported before gets some time to report again.
     auto startWithoutReport(request_state &request) const -> time_us
--- a/src/forwarding/tests/leavingservertests.cpp
+++ b/src/forwarding/tests/leavingservertests.cpp
@@ -87,6 +87,35 @@
     }
 }
 
+TEST_CASE("a run moves off a server that states that it is leaving although its reports show it as "
+          "ready")
+{
+    forwarding_fixture f;
+    f.openRequest("draft");
+    const auto source = f.lastSend().serverId;
+    const auto report = [&](server_report seen) {
+        f.core.onReport(source, std::move(seen));
+        f.advance(30);
+    };
+    report({});
+    f.beginStream({.status = 200, .leaving = true});
+    report({});
+    CHECK(f.copyCommands() == 0);
+    SUBCASE("at once when a report gives it the turn")
+    {
+        report({.state = server_state::leaving, .turn = "other"});
+        CHECK(f.copyCommands() == 0);
+        report({.state = server_state::leaving, .turn = f.lastSend().request->requestId});
+    }
+    SUBCASE("after a while when none does")
+    {
+        for (int i = 0; i < 6; ++i) {
+            report({});
+        }
+    }
+    CHECK(f.copyCommands() == 1);
+}
+
 TEST_CASE("a request is refused at once when all servers of its pool are leaving")
 {
     forwarding_fixture f;
