--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -109,8 +109,11 @@
     ring_reader<report_event, reports_fixture> m_events;
     ring_writer<servers_changed> m_list;
     boost::asio::steady_timer m_timer;
+    process_state m_state;
     reports_duty m_duty{
-        {.host = "e", .listen = {.port = ENTRY_PORT}, .reporterPort = REPORTER_PORT}, m_rings};
+        {.host = "e", .listen = {.port = ENTRY_PORT}, .reporterPort = REPORTER_PORT},
+        m_rings,
+        m_state};
     std::uint64_t m_sequence = 0;
     bool m_awaitsRequest = false;
     std::string m_reported;
