Pause detector: a quiet process does not count as paused

Cause: gaps of 250 ms counted as pauses, but the activity that is noted for certain comes once a second. An entry without reports would have taken a SIGTERM for one sent when the process started, and ended at once. Found by review. Change: a pause is longer than the gaps of a process that runs.

--- a/src/framework/global/pausedetector.h
+++ b/src/framework/global/pausedetector.h
@@ -35,8 +35,8 @@
     }
 
 private:
-    /// Shorter gaps do not matter for the times that are given to a process.
-    static constexpr std::int64_t MIN_PAUSE_US = 250 * US_PER_MS;
+    /// Longer than the gaps between the calls of a process that runs.
+    static constexpr std::int64_t MIN_PAUSE_US = 1'250 * US_PER_MS;
     /// Longest time from the end of a pause until a pending signal is handled.
     static constexpr std::int64_t HANDLING_US = 250 * US_PER_MS;
 
--- a/src/framework/global/tests/pausedetectortests.cpp
+++ b/src/framework/global/tests/pausedetectortests.cpp
@@ -74,3 +74,14 @@
     pauses.noteActive(at(0));
     CHECK(pauses.earliestSignalTime(at(10)) == at(0));
 }
+
+TEST_CASE("a quiet process counts as paused since its start")
+{
+    constexpr std::int64_t END_MS = 60'000;
+    detector_fixture f;
+    for (std::int64_t ms = 2'000; ms <= END_MS; ms += 1'000) {
+        f.pauses.noteActive(at(ms));
+        f.pauses.noteActive(at(ms + 5));
+    }
+    CHECK(f.earliestMs(END_MS + 900) >= END_MS);
+}
