Forwarding: one fast generation does not show the pace of its pool

Cause: found by review. Each batch of events counted as an observation, so a single fast stream replaced the cautious pace; slow streams showed theirs only after 128 tokens; and a running exchange was given up for a retry that the stop then refused. Change: a request counts once; a stream shows its pace after 128 tokens or a second; nothing is retried that the process may not outlast.

--- a/src/forwarding/completionforecast.h
+++ b/src/forwarding/completionforecast.h
@@ -13,11 +13,12 @@
 {
     /// Time per output token while too few generations of the pool have been seen lately.
     std::int64_t initialUsPerToken = 20 * US_PER_MS;
-    /// Tokens after its first event from which a generation shows the pace of its pool; a pause
-    /// weighs too much before.
+    /// Tokens or time after its first event from which a generation shows the pace of its pool; a
+    /// pause weighs too much before.
     std::uint64_t minPaceTokens = 128;
-    /// Observations from which the slowest one is relied on.
-    std::uint64_t minObservations = 8;
+    std::int64_t minPaceUs = 1 * US_PER_SECOND;
+    /// Requests from which the slowest one is relied on.
+    std::uint64_t minRequests = 8;
     /// What was seen is forgotten between one and two periods later.
     std::int64_t periodUs = 10 * US_PER_SECOND;
 };
@@ -46,13 +47,20 @@
     }
     /// Takes the progress of a stream that has got more events. Precondition: the request has a
     /// pool.
-    auto onEvents(const request_state &request, time_us now) -> void
+    auto onEvents(request_state &request, time_us now) -> void
     {
         const auto tokens
             = (request.lastEvent - request.firstBatchEvent) * request.tokensPerEvent();
-        if (tokens >= m_options.minPaceTokens) {
-            const auto us = now - (request.openedAt + request.firstEventUs);
-            seenOf(*request.pool).usPerToken.observe(us / static_cast<std::int64_t>(tokens), now);
+        const auto us = now - (request.openedAt + request.firstEventUs);
+        if (tokens == 0 || (tokens < m_options.minPaceTokens && us < m_options.minPaceUs)) {
+            return;
+        }
+        auto &pace = seenOf(*request.pool).usPerToken;
+        const auto usPerToken = us / static_cast<std::int64_t>(tokens);
+        if (std::exchange(request.paceSeen, true)) {
+            pace.raise(usPerToken, now);
+        } else {
+            pace.observe(usPerToken, now);
         }
     }
     /// Time per output token of the slowest generation that was seen of the pool lately; 0 if there
@@ -86,7 +94,7 @@
     auto slowest(recent_maximum &seen, std::int64_t initial, time_us now) const -> std::int64_t
     {
         const auto value = seen.value(now);
-        return seen.count(now) < m_options.minObservations ? std::max(initial, value) : value;
+        return seen.count(now) < m_options.minRequests ? std::max(initial, value) : value;
     }
     auto seenOf(const pool_entry &pool) -> pool_observations &
     {
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -625,7 +625,7 @@
         }
         m_placer.restartPlacement(request);
     }
-    auto mayRetry(const request_state &request) const -> bool
+    auto mayRetry(const request_state &request) -> bool
     {
         const auto kind = request.route->kind;
         // Events without an id would be delivered twice.
@@ -634,7 +634,8 @@
             = kind == work_kind::repeatable
               || (kind == work_kind::generation && request.route->resumable && canResume);
         return allowed && request.attempts < request.route->attempts
-               && request.sends < m_options.maxSends && request.callerId != 0;
+               && request.sends < m_options.maxSends && request.callerId != 0
+               && !mayOutlastProcess(request);
     }
     /// Retries a request whose run was lost, unless it may be what crashes servers.
     auto retryLost(request_state &request) -> bool
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -136,6 +136,8 @@
     std::uint64_t lastEvent = 0;
     /// The last one of the events that came first.
     std::uint64_t firstBatchEvent = 0;
+    /// It has shown the pace of its pool.
+    bool paceSeen = false;
     std::uint64_t eventsDelivered = 0;
     /// Largest distance between the ids of two successive events of a run.
     std::uint64_t longestIdStep = 0;
--- a/src/limits/recentmaximum.h
+++ b/src/limits/recentmaximum.h
@@ -19,10 +19,16 @@
 
     /// Precondition: `now` never decreases.
     auto observe(std::int64_t value, time_us now) -> void
+    {
+        raise(value, now);
+        ++m_current.count;
+    }
+    /// Replaces the latest value by a larger one, without counting it again. Precondition: `now`
+    /// never decreases.
+    auto raise(std::int64_t value, time_us now) -> void
     {
         forget(now);
         m_current.largest = std::max(m_current.largest, value);
-        ++m_current.count;
     }
     /// 0 if no value was observed lately. Precondition: `now` never decreases.
     auto value(time_us now) -> std::int64_t
