Directory: an outage within the grace of a removal does not keep the timer busy

Cause: found by review. While the service was lost again with a removal pending, the timer was due at once and did nothing, again and again. And a removal in its grace was forgotten when a restored copy listed the item. Change: the grace ends only while the service answers; a restore records the pending removals.

--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -211,7 +211,7 @@
     auto nextTimer() const -> std::optional<time_us>
     {
         auto next = m_nextCallAt;
-        if (!m_pendingRemovals.empty() && m_removalGraceUntil
+        if (!m_pendingRemovals.empty() && m_removalGraceUntil && !m_lost
             && (!next || *m_removalGraceUntil < *next)) {
             next = m_removalGraceUntil;
         }
@@ -274,6 +274,9 @@
         for (auto &[key, item] : m_items) {
             item.revision = 0;
         }
+        for (const auto &[key, item] : m_pendingRemovals) {
+            recordRemoved(key);
+        }
         m_removalGraceUntil = now + m_options.removalGraceUs;
         m_restoring = true;
         m_heldBack.clear();
@@ -324,11 +327,11 @@
             m_pendingRemovals.insert_or_assign(item.key, std::move(item));
             return;
         }
-        m_pendingRemovals.erase(item.key);
         if (isHeldBack(item)) {
             m_heldBack.insert_or_assign(item.key, std::move(item));
             return;
         }
+        m_pendingRemovals.erase(item.key);
         m_heldBack.erase(item.key);
         apply(std::move(item));
     }
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -333,3 +333,29 @@
     CHECK(f.feed.items().at("b").value == 6);
     CHECK(f.sink.synced > synced);
 }
+
+TEST_CASE("a removal that waits for the end of an outage keeps the timer busy")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.feed.onFailed();
+    f.feed.onChanges({}, 5);
+    f.feed.onChanges({{.key = "a", .revision = 6, .removed = true}}, 6);
+    f.feed.onFailed();
+    f.advance(3'000);
+    const auto next = f.feed.nextTimer();
+    CHECK((!next || *next > f.time.now));
+}
+
+TEST_CASE("a removal in its grace is forgotten when the restored copy lists the item")
+{
+    generation_fixture f;
+    f.feed.onFailed();
+    f.feed.onChanges({{.key = "a", .revision = 6, .removed = true}}, 6, 1);
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 5, .generation = 2});
+    f.advance(2'100);
+    CHECK_FALSE(f.feed.items().contains("a"));
+    f.feed.onChanges({item("a", 6, 7)}, 6, 2);
+    CHECK(f.feed.items().at("a").value == 7);
+}
