Serverviews: an entry without a start time is one of the known process

Cause: found by review. An odd entry without a start time replaced the view of a leaving or paused server by a fresh one, which got work. Change: it counts for the process that is known at the same address. Result: the new test passes; it was not run on the old code.

--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -12,9 +12,11 @@
     return {.entry = entry, .warmUpUntil = now + toUs(entry.warmUpLeftMs)};
 }
 
+/// An entry that states no start time is taken for one of the process that is known.
 auto sameProcess(const server_entry &known, const server_entry &entry) -> bool
 {
-    return known.bornUnixMs == entry.bornUnixMs && known.address == entry.address;
+    return (known.bornUnixMs == entry.bornUnixMs || entry.bornUnixMs == 0)
+           && known.address == entry.address;
 }
 
 } // namespace
@@ -30,12 +32,14 @@
         auto view = known ? std::move(node.mapped())
                           : addView(entry, node.empty() ? nullptr : &node.mapped(), now);
         const auto wasLeaving = view.leaving();
+        const auto bornUnixMs = entry.bornUnixMs ? entry.bornUnixMs : view.entry.bornUnixMs;
         view.entry = entry;
+        view.entry.bornUnixMs = bornUnixMs;
         view.unlistedAt.reset();
         view.announced = false;
         view.listingMissedSince.reset();
         // A process that leaves does not return: an entry that lacks this is older.
-        const auto staysLeaving = known && view.publishedLeaving && entry.bornUnixMs != 0;
+        const auto staysLeaving = known && view.publishedLeaving && bornUnixMs != 0;
         view.publishedLeaving = entry.state == server_state::leaving || staysLeaving;
         if (!known) {
             out.joined.push_back(entry.id);
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -254,3 +254,20 @@
     CHECK(directory.unavailableUntil("engines", {}) == time_us{1 * US_PER_SECOND});
     CHECK(directory.find("a")->availableAt() >= time_us{5 * US_PER_SECOND});
 }
+
+TEST_CASE("an entry without a start time makes a leaving server a new one")
+{
+    server_directory directory({});
+    auto entry = entryOf("a");
+    entry.bornUnixMs = 7;
+    entry.state = server_state::leaving;
+    directory.onServerList({entry}, {});
+    directory.onStatedLeaving("a");
+    entry.bornUnixMs = 0;
+    entry.state = server_state::ready;
+    CHECK(directory.onServerList({entry}, {1 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableServers("engines", {1 * US_PER_SECOND}).empty());
+    entry.bornUnixMs = 8;
+    CHECK(directory.onServerList({entry}, {2 * US_PER_SECOND}).joined.size() == 1);
+    CHECK(directory.usableServers("engines", {2 * US_PER_SECOND}).size() == 1);
+}
