Entry: new requests are refused at once where no balancer has to notice

Cause: since the wait for the balancer no longer blocks, an entry without such a wait served new requests for up to 50 ms after SIGTERM (e2e_drain failed). Change: the first check for the end is made with the signal.

--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -111,6 +111,7 @@
         handledAt = clock.now();
         sentAt = options.pauses ? options.pauses->earliestSignalTime(handledAt) : handledAt;
         drain(std::chrono::milliseconds((handledAt - sentAt) / US_PER_MS));
+        ended();
         check(check);
         signals.async_wait([&](boost::system::error_code, int) {
             exitCode = EXIT_HURRIED;
