--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -13,6 +13,7 @@
     int synced = 0;
     int lost = 0;
     int regained = 0;
+    std::vector<history_order> orders;
 
     auto list(const std::string &after) -> void { lists.push_back(after); }
     auto watch(std::uint64_t revision, std::int64_t) -> void { watches.push_back(revision); }
@@ -20,6 +21,10 @@
     auto onSynced() -> void { ++synced; }
     auto onServiceLost() -> void { ++lost; }
     auto onServiceRegained() -> void { ++regained; }
+    auto onHistory(history_order order, const history_position &, const history_position &) -> void
+    {
+        orders.push_back(order);
+    }
 };
 
 struct fixture
@@ -27,7 +32,10 @@
     virtual_clock_source::state time;
     recorder sink;
     list_watch<int, virtual_clock_source, recorder> feed{
-        {.removalGraceUs = 2 * US_PER_SECOND}, virtual_clock_source(&time), 1, sink};
+        {.removalGraceUs = 2 * US_PER_SECOND, .restoreHoldUs = 6 * US_PER_SECOND},
+        virtual_clock_source(&time),
+        1,
+        sink};
 
     auto advance(std::int64_t ms) -> void
     {
@@ -119,3 +127,235 @@
     f.advance(400);
     CHECK(f.sink.watches == std::vector<std::uint64_t>{5, 5});
 }
+
+// The listing began after the same key again and again without a pause, or ended early, and what
+// was not on its pages counted as removed.
+TEST_CASE("a page that does not advance the listing is a failure, and removes nothing")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onCompacted();
+    f.feed.onPage(
+        {.items = {{.key = "a", .revision = 1, .value = 1}}, .more = true, .revision = 7});
+    f.feed.onPage(
+        {.items = {{.key = "a", .revision = 1, .value = 1}}, .more = true, .revision = 7});
+    CHECK(f.sink.lists == std::vector<std::string>{"", "", "a"});
+    CHECK(f.sink.lost == 1);
+    f.advance(401);
+    CHECK(f.sink.lists.size() == 4);
+    f.feed.onPage({.more = true, .revision = 8});
+    CHECK(f.feed.items().size() == 2);
+    CHECK(f.sink.lists.size() == 4);
+    f.advance(401);
+    CHECK(f.sink.lists.back().empty());
+    f.listed({"a"}, 9);
+    f.advance(2'100);
+    CHECK_FALSE(f.feed.items().contains("b"));
+}
+
+TEST_CASE("an item that cannot be decoded ends what was known under its key, until it is changed")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a", "b"}, 5);
+    f.feed.onChanges({{.key = "a", .revision = 6}}, 6);
+    CHECK_FALSE(f.feed.items().at("a").value);
+    CHECK(f.feed.items().at("b").value == 1);
+    f.feed.onChanges({{.key = "a", .revision = 7, .value = 2}}, 7);
+    CHECK(f.feed.items().at("a").value == 2);
+    f.feed.onChanges({{.key = "a", .revision = 8}}, 8);
+    f.feed.onChanges({{.key = "a", .revision = 9, .removed = true}}, 9);
+    CHECK(f.feed.items().size() == 1);
+}
+
+namespace {
+
+auto item(std::string key, std::uint64_t revision, int value) -> published<int>
+{
+    return {.key = std::move(key), .revision = revision, .value = value};
+}
+
+/// A feed whose service states its generation, and that has listed `a` at revision 5.
+struct generation_fixture : fixture
+{
+    generation_fixture()
+    {
+        feed.start();
+        feed.onPage({.items = {item("a", 5, 5)}, .revision = 5, .generation = 1});
+        advance(1);
+        sink.lists.clear();
+    }
+};
+
+} // namespace
+
+TEST_CASE("an item written again after a restore is ignored because its revision is lower")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 2, 2)}, .revision = 3, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 2);
+    CHECK(f.feed.revision() == 3);
+    f.feed.onChanges({item("a", 4, 6)}, 4, 2);
+    CHECK(f.feed.items().at("a").value == 6);
+    CHECK(f.sink.orders == std::vector{history_order::restored});
+}
+
+TEST_CASE("a change is missed because the restored service has reached the watched revision again")
+{
+    generation_fixture f;
+    f.feed.onChanges({}, 5, 2);
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{""});
+    f.feed.onPage({.items = {item("a", 5, 7)}, .revision = 5, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 7);
+}
+
+TEST_CASE("pages from before and after a restore are joined into one listing")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 6, 6)}, .more = true, .revision = 8, .generation = 1});
+    CHECK(f.sink.lists == std::vector<std::string>{"", "a"});
+    f.feed.onPage({.items = {item("b", 3, 3)}, .revision = 9, .generation = 2});
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{"", "a", ""});
+    f.feed.onPage({.items = {item("a", 4, 4), item("b", 3, 3)}, .revision = 9, .generation = 2});
+    CHECK(f.feed.items().at("a").value == 4);
+    CHECK(f.feed.items().at("b").value == 3);
+}
+
+TEST_CASE("a late answer of an earlier generation replaces what a later one contained")
+{
+    generation_fixture f;
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 2, 2)}, .revision = 2, .generation = 2});
+    f.feed.onChanges({item("a", 9, 9)}, 9, 1);
+    CHECK(f.feed.items().at("a").value == 2);
+    CHECK(f.sink.lost == 1);
+    f.advance(500);
+    f.feed.onChanges({item("a", 3, 3)}, 3, 2);
+    CHECK(f.feed.items().at("a").value == 3);
+    CHECK(f.sink.regained == 1);
+    CHECK(f.sink.orders == std::vector{history_order::restored, history_order::outdated});
+}
+
+TEST_CASE("a service whose generation went back for good is never followed again")
+{
+    generation_fixture f;
+    f.feed.onPage({.items = {item("a", 6, 6)}, .revision = 6, .generation = 9});
+    for (int i = 0; i < 40; ++i) {
+        f.advance(500);
+        f.feed.onPage({.items = {item("a", 3, 3)}, .revision = 3, .generation = 1});
+    }
+    CHECK(f.feed.items().at("a").value == 3);
+    CHECK_FALSE(f.feed.lost());
+}
+
+TEST_CASE("a page older than the watch removes items and moves the watch back")
+{
+    generation_fixture f;
+    f.feed.onChanges({item("b", 7, 7)}, 7, 1);
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 6, .generation = 1});
+    f.advance(3'000);
+    CHECK(f.feed.items().contains("b"));
+    CHECK(f.feed.revision() == 7);
+}
+
+TEST_CASE("a restore goes unnoticed where the service states no generation")
+{
+    fixture f;
+    f.feed.start();
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 5});
+    f.feed.onChanges({item("b", 4, 4)}, 4);
+    f.advance(500);
+    CHECK(f.sink.lists == std::vector<std::string>{"", ""});
+    f.feed.onPage({.items = {item("a", 3, 3)}, .revision = 4});
+    CHECK(f.feed.items().at("a").value == 3);
+}
+
+TEST_CASE("an item missing from the restored copy is removed before it can be written again")
+{
+    generation_fixture f;
+    f.feed.onPage({.items = {item("b", 2, 2)}, .revision = 2, .generation = 2});
+    CHECK(f.feed.items().contains("a"));
+    f.feed.onChanges({item("a", 3, 6)}, 3, 2);
+    f.advance(2'100);
+    CHECK(f.feed.items().at("a").value == 6);
+}
+
+namespace {
+
+/// A restored copy contains `b`, which had been removed before.
+struct removed_fixture : generation_fixture
+{
+    removed_fixture()
+    {
+        feed.onChanges({item("b", 6, 6)}, 6, 1);
+        feed.onChanges({{.key = "b", .revision = 7, .removed = true}}, 7, 1);
+        feed.onPage({.items = {item("a", 5, 5), item("b", 6, 6)}, .revision = 6, .generation = 2});
+    }
+};
+
+} // namespace
+
+TEST_CASE("an item that had been removed comes back with the restored copy")
+{
+    removed_fixture f;
+    CHECK(f.feed.items().contains("a"));
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.feed.onCompacted();
+    f.feed.onPage({.items = {item("a", 5, 5), item("b", 6, 6)}, .revision = 8, .generation = 2});
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.feed.onChanges({{.key = "b", .revision = 9, .removed = true}}, 9, 2);
+    f.advance(7'000);
+    CHECK_FALSE(f.feed.items().contains("b"));
+}
+
+TEST_CASE("an item of the restored copy that is written again is held back")
+{
+    removed_fixture f;
+    f.feed.onChanges({item("b", 8, 8)}, 8, 2);
+    CHECK(f.feed.items().at("b").value == 8);
+}
+
+TEST_CASE("an item of the restored copy that nobody removes is held back for ever")
+{
+    removed_fixture f;
+    const auto synced = f.sink.synced;
+    REQUIRE(f.feed.nextTimer());
+    f.advance(5'000);
+    CHECK_FALSE(f.feed.items().contains("b"));
+    f.advance(2'000);
+    CHECK(f.feed.items().at("b").value == 6);
+    CHECK(f.sink.synced > synced);
+}
+
+TEST_CASE("a removal that waits for the end of an outage keeps the timer busy")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.feed.onFailed();
+    f.feed.onChanges({}, 5);
+    f.feed.onChanges({{.key = "a", .revision = 6, .removed = true}}, 6);
+    f.feed.onFailed();
+    f.advance(3'000);
+    const auto next = f.feed.nextTimer();
+    CHECK((!next || *next > f.time.now));
+}
+
+TEST_CASE("a removal in its grace is forgotten when the restored copy lists the item")
+{
+    generation_fixture f;
+    f.feed.onFailed();
+    f.feed.onChanges({{.key = "a", .revision = 6, .removed = true}}, 6, 1);
+    f.feed.onPage({.items = {item("a", 5, 5)}, .revision = 5, .generation = 2});
+    f.advance(2'100);
+    CHECK_FALSE(f.feed.items().contains("a"));
+    f.feed.onChanges({item("a", 6, 7)}, 6, 2);
+    CHECK(f.feed.items().at("a").value == 7);
+}
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -180,6 +180,10 @@
     {
         std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
                    std::move(event));
+        // Runs move only once the request whose answer stated it has its new state.
+        if (const auto id = std::exchange(m_statedLeaving, std::nullopt)) {
+            onLeaving(*id, "answer");
+        }
         endQuarantinedRequests();
     }
 
@@ -267,7 +271,7 @@
             .resumeFrom = copy});
         if (request.route->kind == work_kind::repeatable && request.route->attempts > 1) {
             const auto us = m_options.hedgeAfterTargets
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(toUs(request.route->latencyTargetMs));
             m_timers.set({timer_kind::hedge, request.number}, now + static_cast<std::int64_t>(us));
         }
     }
@@ -275,9 +279,9 @@
     {
         const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
-        if (m_directory.poolSize(pool) == 0) {
+        if (m_directory.poolSize(pool) == 0 || m_directory.allLeaving(pool)) {
             failRequest(request, failure::no_backend_server, ran);
-        } else if (const auto until = m_directory.limitedUntil(pool, m_clock.now())) {
+        } else if (const auto until = m_directory.unavailableUntil(pool, m_clock.now())) {
             failRequest(request, failure::rate_limited, ran, until);
         } else {
             failRequest(request, failure::overloaded, ran);
@@ -373,13 +377,19 @@
 
     // --- answers
 
+    auto onAnswer(const request_state &request, const response_head &head) -> void
+    {
+        if (m_servers.onAnswer(request.run.serverId, head)) {
+            m_statedLeaving = request.run.serverId;
+        }
+    }
     auto on(response_received &&answered) -> void
     {
         auto *request = findByExchange(answered.exchangeId);
         if (!request) {
             return;
         }
-        m_servers.onAnswer(request->run.serverId, answered.head);
+        onAnswer(*request, answered.head);
         endExchange(*request);
         if (answered.head.notRun || answered.head.wrongServer) {
             onRefusedByServer(*request, answered.head);
@@ -393,7 +403,10 @@
             m_quarantine.onRunProgress(*request, true);
         }
         const auto failed = answered.head.status >= SERVER_ERROR;
-        m_servers.onOutcome(*request, !failed);
+        // A server that asks for a pause is overloaded, not broken.
+        if (!answered.head.retryAfterMs) {
+            m_servers.onOutcome(*request, !failed);
+        }
         if (failed && mayRetry(*request) && retry(*request, "server_error")) {
             return;
         }
@@ -433,7 +446,7 @@
         if (!request) {
             return;
         }
-        m_servers.onAnswer(request->run.serverId, begun.head);
+        onAnswer(*request, begun.head);
         request->attempts += request->run.copy ? 0 : 1;
         request->phase = request_phase::streaming;
         request->run.begun = true;
@@ -458,11 +471,21 @@
         m_quarantine.onRunProgress(*request, false);
         std::string bytes;
         for (auto &event : advanced.events) {
-            if (event.id && *event.id <= request->lastEvent) {
+            const auto repeated
+                = event.id ? *event.id <= request->lastEvent : request->awaitsContinuation();
+            if (repeated) {
                 continue;
             }
+            const auto idStep = event.id ? *event.id - request->lastEvent : 0;
+            if (!request->awaitsContinuation()) {
+                request->longestIdStep = std::max(request->longestIdStep, idStep);
+            } else if (idStep > request->longestIdStep) {
+                onUnusableContinuation(*request, "missing_events");
+                return;
+            }
             request->lastEvent = event.id.value_or(request->lastEvent);
             ++request->eventsDelivered;
+            ++request->run.forwardedEvents;
             bytes += event.bytes;
         }
         if (!bytes.empty()) {
@@ -492,6 +515,10 @@
             return;
         }
         m_mover.abandon(*request);
+        if (request->awaitsContinuation()) {
+            onUnusableContinuation(*request, "no_events");
+            return;
+        }
         endExchange(*request);
         m_quarantine.onRunProgress(*request, request->run.events > 0);
         m_servers.onOutcome(*request, true);
@@ -506,6 +533,17 @@
         toCaller(*request, end_response_stream{.callerId = request->callerId});
         close(*request);
     }
+    /// Handles a run that does not continue the stream of the one before it: events in between are
+    /// missing, or it ended without any. Whether the stream is complete is unknown.
+    auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
+    {
+        m_mover.abandon(request);
+        cancelExchange(request);
+        m_servers.onOutcome(request, false);
+        if (!mayRetry(request) || !retry(request, cause)) {
+            abortStream(request, failure::backend_server_failed);
+        }
+    }
     auto on(const exchange_failed &failed) -> void
     {
         auto *request = findByExchange(failed.exchangeId);
@@ -587,13 +625,17 @@
         }
         m_placer.restartPlacement(request);
     }
-    auto mayRetry(const request_state &request) const -> bool
+    auto mayRetry(const request_state &request) -> bool
     {
         const auto kind = request.route->kind;
-        const auto allowed = kind == work_kind::repeatable
-                             || (kind == work_kind::generation && request.route->resumable);
+        // Events without an id would be delivered twice.
+        const auto canResume = request.lastEvent > 0 || request.eventsDelivered == 0;
+        const auto allowed
+            = kind == work_kind::repeatable
+              || (kind == work_kind::generation && request.route->resumable && canResume);
         return allowed && request.attempts < request.route->attempts
-               && request.sends < m_options.maxSends && request.callerId != 0;
+               && request.sends < m_options.maxSends && request.callerId != 0
+               && !mayOutlastProcess(request);
     }
     /// Retries a request whose run was lost, unless it may be what crashes servers.
     auto retryLost(request_state &request) -> bool
@@ -629,6 +671,18 @@
         failRequest(request, sent ? failure::deadline_exceeded : failure::would_miss_deadline,
                     sent || request.attempts > 0 ? run_state::unknown : run_state::not_run);
     }
+    /// Whether a server that the request has not been sent to may get it now.
+    auto hasAlternative(const request_state &request) const -> bool
+    {
+        const auto now = m_clock.now();
+        const auto servers = m_directory.usableServers(request.pool->name, now);
+        const auto &excluded = request.excludedServers;
+        return std::any_of(servers.begin(), servers.end(), [&](const server_view *view) {
+            const auto &id = view->entry.id;
+            return id != request.run.serverId && view->availableAt() <= now
+                   && std::find(excluded.begin(), excluded.end(), id) == excluded.end();
+        });
+    }
     /// Retries a slow repeatable request on another server.
     auto onHedgeTimeout(request_state &request) -> void
     {
@@ -636,8 +690,7 @@
             return;
         }
         ++request.attempts;
-        if (!mayRetry(request)
-            || m_directory.usableServers(request.pool->name, m_clock.now()).size() < 2
+        if (!mayRetry(request) || !hasAlternative(request)
             || !retryBudgetOf(*request.pool).tryAcquire(m_clock.now(), m_entryCount.count())) {
             --request.attempts;
             return;
@@ -838,6 +891,8 @@
     run_mover<Clock, forwarding_core> m_mover;
     crash_quarantine<Clock, forwarding_core> m_quarantine;
     server_observer<Clock, Sink> m_servers;
+    /// Server that has stated in the answer being handled that it is leaving.
+    std::optional<std::string> m_statedLeaving;
     bool m_quarantineChanged = false;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
--- a/src/forwarding/requestadmission.h
+++ b/src/forwarding/requestadmission.h
@@ -58,7 +58,7 @@
         request.lastEvent = incoming->generation.resumeAfter.value_or(0);
         request.openedAt = now;
         const auto patience = incoming->callerTimeoutMs.value_or(request.route->timeoutMs);
-        request.deadline = now + std::min(patience, request.route->timeoutMs) * US_PER_MS;
+        request.deadline = now + toUs(std::min(patience, request.route->timeoutMs));
         return state;
     }
 
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -76,7 +76,10 @@
         auto &roomRequest = request->roomRequest;
         roomRequest.lastVerdict = replied.verdict;
         m_host.observe(latency_kind::room_request, m_clock.now() - roomRequest.askedAt);
-        if (replied.verdict == room_verdict::granted) {
+        // Answers to other requests may have changed what is known of the server.
+        const auto *view = m_directory.find(roomRequest.serverId);
+        const auto closed = view && (view->leaving() || view->pausedUntil > m_clock.now());
+        if (replied.verdict == room_verdict::granted && !closed && !isExpired(*request)) {
             m_host.send(*request, std::string(roomRequest.serverId), endpoint(roomRequest.server),
                         std::nullopt);
             return;
@@ -164,10 +167,19 @@
             -> std::strong_ordering = default;
     };
 
+    /// After a pause of the process other events can come before the timer of the deadline, which
+    /// ends the request: it must not be sent any more.
+    auto isExpired(const request_state &request) const -> bool
+    {
+        return request.deadline <= m_clock.now();
+    }
     /// Sends the request or asks a reporter for room. Returns false if no server seems to have
     /// room.
     auto place(request_state &request) -> bool
     {
+        if (isExpired(request)) {
+            return true;
+        }
         auto &roomRequest = request.roomRequest;
         const auto *view = request.pool && roomRequest.count < m_options.maxRoomRequests
                                ? chooseServer(request, false)
@@ -208,7 +220,7 @@
     /// Number of prompts that may be read before this one without missing the latency target.
     auto maxPromptsAhead(const request_state &request) const -> std::uint32_t
     {
-        const auto us = static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+        const auto us = static_cast<double>(toUs(request.route->latencyTargetMs));
         return static_cast<std::uint32_t>(us * m_options.prefillShare
                                           / static_cast<double>(m_options.prefillUs));
     }
@@ -231,17 +243,19 @@
         request.phase = request_phase::waiting;
         if (!request.waitUntil) {
             const auto us = m_options.maxWaitShare
-                            * static_cast<double>(request.route->latencyTargetMs * US_PER_MS);
+                            * static_cast<double>(toUs(request.route->latencyTargetMs));
             request.waitUntil = now + static_cast<std::int64_t>(us);
             m_host.log(log_event::request_waiting, request,
                        {{"route", request.route->name},
                         {"questions", static_cast<std::int64_t>(request.roomRequest.count)},
                         {"room", std::string(nameOf(request.roomRequest.lastVerdict))}});
         }
-        // If the limits of all servers last longer, the caller is told at once when to retry.
-        const auto limitedUntil
-            = m_directory.limitedUntil(request.pool ? request.pool->name : "", now);
-        if (now >= *request.waitUntil || (limitedUntil && *limitedUntil > *request.waitUntil)) {
+        // Waiting is useless if all servers are leaving or will be unavailable for longer: then the
+        // caller is told at once when to retry.
+        const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
+        const auto availableAt = m_directory.unavailableUntil(pool, now);
+        if (now >= *request.waitUntil || (availableAt && *availableAt > *request.waitUntil)
+            || m_directory.allLeaving(pool)) {
             m_host.onPlacementFailed(request);
             return;
         }
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -86,7 +86,7 @@
         }
         const auto now = m_clock.now();
         const auto *source = m_directory.find(request.run.serverId);
-        if (source && hasFreshReport(*source)) {
+        if (source && hasFreshReport(*source) && reportsTurns(*source)) {
             if (source->report->turn != request.request->requestId) {
                 // The next report triggers another attempt; the timer covers a reporter that falls
                 // silent.
@@ -186,6 +186,12 @@
     {
         return view.report && m_clock.now() - view.reportAt < m_options.reportMaxAgeUs;
     }
+    /// Whether the reports of a server say whose turn it is. They do not while they show a server
+    /// as ready that has stated in an answer that it is leaving.
+    static auto reportsTurns(const server_view &view) -> bool
+    {
+        return view.reportedLeaving || !view.statedLeavingBornUnixMs;
+    }
     /// Returns when a run may move although no fresh report says whose turn it is. A server that
     /// has reported before gets some time to report again.
     auto startWithoutReport(request_state &request) const -> time_us
@@ -325,6 +331,12 @@
         auto &move = *request.move;
         switch (done.outcome) {
         case copy_outcome::copied:
+            if (isPaused(move.targetId)) {
+                // The run still has its source. Once it is stopped it resumes at the target anyway.
+                m_host.toServer(release_kv_copy{kvCopyOf(request, done.handle)});
+                tryNextTarget(request);
+                break;
+            }
             move.handle = done.handle;
             move.copiedAt = m_clock.now();
             move.stopOrderedAt = move.copiedAt;
@@ -338,13 +350,22 @@
             break;
         case copy_outcome::no_room:
         case copy_outcome::failed:
-            request.refusedTargets.push_back(move.targetId);
-            releaseTarget(request);
-            request.move.reset();
-            beginMove(request);
+            tryNextTarget(request);
             break;
         }
     }
+    auto isPaused(const std::string &id) const -> bool
+    {
+        const auto *view = m_directory.find(id);
+        return view && view->pausedUntil > m_clock.now();
+    }
+    auto tryNextTarget(request_state &request) -> void
+    {
+        request.refusedTargets.push_back(request.move->targetId);
+        releaseTarget(request);
+        request.move.reset();
+        beginMove(request);
+    }
     auto onFinalCopied(request_state &request, const run_copied &done) -> void
     {
         auto &move = *request.move;
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -156,7 +156,7 @@
     auto onRateLimit(const server_rate_limit &seen) -> void
     {
         const auto now = m_clock.now();
-        const auto seenAt = now + -seen.ageMs * US_PER_MS;
+        const auto seenAt = now + -toUs(seen.ageMs);
         if (m_report.rateLimitKnown && seenAt <= m_rateLimitSeenAt) {
             return;
         }
@@ -202,11 +202,13 @@
         return m_announceUntil && !m_identity && !m_options.entries.empty()
                && m_clock.now() >= m_identityAt;
     }
-    /// Takes the server's identity; nullopt if the request failed.
-    auto onIdentity(std::optional<server_identity> identity) -> void
+    /// Takes the server's identity; nullopt if the request failed. A server that was too busy to
+    /// return it may ask for a longer pause before the next request.
+    auto onIdentity(std::optional<server_identity> identity, std::int64_t retryAfterMs = 0) -> void
     {
         m_identity = std::move(identity);
-        m_identityAt = m_clock.now() + m_options.identityRetryUs;
+        m_identityAt
+            = m_clock.now() + std::max(m_options.identityRetryUs, retryAfterMs * US_PER_MS);
         announce();
     }
     auto onReport(const server_report &seen) -> void
@@ -275,13 +277,16 @@
         if (before == seen.bornUnixMs) {
             return;
         }
-        const auto ageMs = std::abs(m_clock.unixMs() - seen.bornUnixMs);
+        const auto unixMs = m_clock.unixMs();
+        const auto justStarted = seen.bornUnixMs > unixMs - m_options.justStartedAgeMs
+                                 && seen.bornUnixMs < unixMs + m_options.justStartedAgeMs;
         m_identity.reset();
         m_announceUntil.reset();
+        m_identityAt = {};
         if (before) {
             forgetRateLimit();
         }
-        if (before || ageMs < m_options.justStartedAgeMs) {
+        if (before || justStarted) {
             m_announceUntil = m_clock.now() + m_options.announceDurationUs;
         }
     }
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -9,12 +9,14 @@
 /// The entry states the remaining warm-up time when it is written; the view counts it down.
 auto makeView(const server_entry &entry, time_us now) -> server_view
 {
-    return {.entry = entry, .warmUpUntil = now + entry.warmUpLeftMs * US_PER_MS};
+    return {.entry = entry, .warmUpUntil = now + toUs(entry.warmUpLeftMs)};
 }
 
+/// An entry that states no start time is taken for one of the process that is known.
 auto sameProcess(const server_entry &known, const server_entry &entry) -> bool
 {
-    return known.bornUnixMs == entry.bornUnixMs && known.address == entry.address;
+    return (known.bornUnixMs == entry.bornUnixMs || entry.bornUnixMs == 0)
+           && known.address == entry.address;
 }
 
 } // namespace
@@ -27,13 +29,18 @@
     for (const auto &entry : entries) {
         auto node = m_views.extract(entry.id);
         const auto known = !node.empty() && sameProcess(node.mapped().entry, entry);
-        auto view = known ? std::move(node.mapped()) : makeView(entry, now);
+        auto view = known ? std::move(node.mapped())
+                          : addView(entry, node.empty() ? nullptr : &node.mapped(), now);
         const auto wasLeaving = view.leaving();
+        const auto bornUnixMs = entry.bornUnixMs ? entry.bornUnixMs : view.entry.bornUnixMs;
         view.entry = entry;
+        view.entry.bornUnixMs = bornUnixMs;
         view.unlistedAt.reset();
         view.announced = false;
         view.listingMissedSince.reset();
-        view.publishedLeaving = entry.state == server_state::leaving;
+        // A process that leaves does not return: an entry that lacks this is older.
+        const auto staysLeaving = known && view.publishedLeaving && bornUnixMs != 0;
+        view.publishedLeaving = entry.state == server_state::leaving || staysLeaving;
         if (!known) {
             out.joined.push_back(entry.id);
         }
@@ -51,14 +58,15 @@
             view.unlistedAt = now;
             out.unlisted.push_back(id);
         }
-        if (view.inFlight > 0 || now - *view.unlistedAt < m_options.unlistedRetentionUs) {
+        if (view.inFlight > 0 || view.pausedUntil > now
+            || now - *view.unlistedAt < m_options.unlistedRetentionUs) {
             kept.emplace(id, std::move(view));
         } else {
             out.gone.push_back(id);
+            recordGone(view, now);
         }
     }
     m_views = std::move(kept);
-    recordGone(out.gone, now);
     return out;
 }
 
@@ -82,8 +90,11 @@
     const auto nowLeaving = report.state == server_state::leaving || report.leavesMs.has_value();
     const auto becameLeaving = nowLeaving && !view->leaving();
     view->reportedLeaving = nowLeaving;
+    if (!nowLeaving && report.bornUnixMs > view->statedLeavingBornUnixMs.value_or(INT64_MAX)) {
+        view->statedLeavingBornUnixMs.reset();
+    }
     if (report.leavesMs) {
-        view->shutdownAt = now + *report.leavesMs * US_PER_MS;
+        view->shutdownAt = now + toUs(*report.leavesMs);
     }
     view->report = std::move(report);
     view->reportAt = now;
@@ -93,6 +104,33 @@
     return becameLeaving;
 }
 
+auto server_directory::onStatedLeaving(const std::string &id) -> bool
+{
+    auto *view = findMutable(id);
+    if (!view) {
+        return false;
+    }
+    const auto wasLeaving = view->leaving();
+    // The later start is that of the process that answered: list and report may be of earlier ones.
+    const auto reported = view->report ? view->report->bornUnixMs : 0;
+    view->statedLeavingBornUnixMs = std::max(view->entry.bornUnixMs, reported);
+    return !wasLeaving;
+}
+
+auto server_directory::onRetryAfter(const std::string &id, std::int64_t retryAfterMs, time_us now)
+    -> bool
+{
+    auto *view = findMutable(id);
+    if (!view) {
+        return false;
+    }
+    const auto wasPaused = view->pausedUntil > now;
+    const auto pauseUs = std::min(retryAfterMs, m_options.maxPauseUs / US_PER_MS) * US_PER_MS;
+    // An earlier answer may have stated a later end, which still holds.
+    view->pausedUntil = std::max(view->pausedUntil, now + pauseUs);
+    return !wasPaused && view->pausedUntil > now;
+}
+
 auto server_directory::onLoad(const std::string &id, const load_sample &load, time_us now) -> void
 {
     if (auto *view = findMutable(id)) {
@@ -175,12 +213,12 @@
     if (!reported) {
         return;
     }
-    const auto seenAt = now + -reported->ageMs * US_PER_MS;
+    const auto seenAt = now + -toUs(reported->ageMs);
     if (!view.rateLimit || seenAt > view.rateLimitSeenAt) {
         setRateLimit(view, reported->milliPerSecond, seenAt, now);
     }
     if (view.rateLimit->milliPerSecond > 0 && hasGranter(view, now)) {
-        view.limitedUntil = now + view.report->limitedForMs * US_PER_MS;
+        view.limitedUntil = now + toUs(view.report->limitedForMs);
     }
 }
 
@@ -267,7 +305,7 @@
         if (view.ejectedUntil <= now) {
             healthy.push_back(&view);
         }
-        if (view.ejectedUntil <= now && !view.onProbation) {
+        if (view.ejectedUntil <= now && !view.onProbation && view.availableAt() <= now) {
             trusted.push_back(&view);
         }
     }
@@ -277,19 +315,32 @@
     return healthy.empty() ? all : healthy;
 }
 
-auto server_directory::limitedUntil(std::string_view pool, time_us now) const
+auto server_directory::unavailableUntil(std::string_view pool, time_us now) const
     -> std::optional<time_us>
 {
     std::optional<time_us> out;
     for (const auto *view : usableServers(pool, now)) {
-        if (view->limitedUntil <= now) {
+        const auto at = view->availableAt();
+        if (at <= now) {
             return std::nullopt;
         }
-        out = std::min(out.value_or(view->limitedUntil), view->limitedUntil);
+        out = std::min(out.value_or(at), at);
     }
     return out;
 }
 
+auto server_directory::allLeaving(std::string_view pool) const -> bool
+{
+    bool any = false;
+    for (const auto &[id, view] : m_views) {
+        if (view.entry.pool == pool && !view.leaving()) {
+            return false;
+        }
+        any = any || view.entry.pool == pool;
+    }
+    return any;
+}
+
 auto server_directory::poolSize(std::string_view pool) const -> std::size_t
 {
     return static_cast<std::size_t>(
@@ -319,13 +370,35 @@
     return !view.leaving() && !(view.announced && silent);
 }
 
-auto server_directory::recordGone(const std::vector<std::string> &gone, time_us now) -> void
+/// Returns the view of a process that has just been listed. It keeps what the process has stated
+/// while `predecessor` was listed at its id, or before it was removed.
+auto server_directory::addView(const server_entry &entry, const server_view *predecessor,
+                               time_us now) const -> server_view
 {
-    std::erase_if(
-        m_gone, [&](const auto &named) { return now - named.second > m_options.goneRetentionUs; });
-    for (const auto &id : gone) {
-        m_gone.insert_or_assign(id, now);
+    auto view = makeView(entry, now);
+    const auto keep = [&](const server_entry &known, std::optional<std::int64_t> statedBorn) {
+        if (statedBorn == entry.bornUnixMs && known.address == entry.address) {
+            view.statedLeavingBornUnixMs = statedBorn;
+        }
+    };
+    if (predecessor) {
+        keep(predecessor->entry, predecessor->statedLeavingBornUnixMs);
+    }
+    if (const auto gone = m_gone.find(entry.id); gone != m_gone.end()) {
+        keep(gone->second.entry, gone->second.statedLeavingBornUnixMs);
     }
+    return view;
+}
+
+auto server_directory::recordGone(const server_view &view, time_us now) -> void
+{
+    std::erase_if(m_gone, [&](const auto &named) {
+        return now - named.second.at > m_options.goneRetentionUs;
+    });
+    m_gone.insert_or_assign(view.entry.id,
+                            gone_server{.at = now,
+                                        .entry = view.entry,
+                                        .statedLeavingBornUnixMs = view.statedLeavingBornUnixMs});
 }
 
 auto server_directory::mayEject(const server_view &view, time_us now) const -> bool
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -4,6 +4,7 @@
 #include "limits/ratelimiter.h"
 #include "serverviews/serverentry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -18,6 +19,9 @@
     /// Whether the published entry, or the server's report, says that it is leaving.
     bool publishedLeaving = false;
     bool reportedLeaving = false;
+    /// Start time of the process that has stated in an answer that it is leaving. Such a process
+    /// never accepts new work again, whatever older lists and reports say.
+    std::optional<std::int64_t> statedLeavingBornUnixMs;
     /// Known only from its reporter; not in the published list yet.
     bool announced = false;
     /// When a published list first lacked this announced server.
@@ -50,6 +54,9 @@
     /// It gets no new work until then, to keep to its limit.
     time_us limitedUntil;
 
+    /// The server has turned a request away and wants no others until then.
+    time_us pausedUntil;
+
     // --- health
     /// Moving average of failed requests, weighted towards recent ones.
     double failureRate = 0.0;
@@ -60,10 +67,13 @@
     bool onProbation = false;
     time_us ejectedUntil;
 
+    /// When it may get a request, by its limit and its pause.
+    auto availableAt() const -> time_us { return std::max(limitedUntil, pausedUntil); }
     /// Whether it gets no new work because it is about to shut down.
     auto leaving() const -> bool
     {
-        return publishedLeaving || reportedLeaving || unlistedAt.has_value();
+        return publishedLeaving || reportedLeaving || statedLeavingBornUnixMs
+               || unlistedAt.has_value();
     }
 };
 
--- a/src/serverviews/tests/serverdirectorytests.cpp
+++ b/src/serverviews/tests/serverdirectorytests.cpp
@@ -103,3 +103,171 @@
     CHECK_FALSE(directory.onAnnounced(entryOf("a"), {}));
     CHECK(directory.usableServers("engines", {}).empty());
 }
+
+// The product of a huge number of milliseconds and 1,000 wrapped around, and a server that had just
+// started counted as warm, or one that was about to leave as long gone.
+TEST_CASE("durations that servers state are limited instead of wrapping around")
+{
+    constexpr time_us NOW{1'000 * US_PER_SECOND};
+    constexpr std::int64_t LONGEST = INT64_MAX;
+    server_directory directory({});
+    auto cold = entryOf("a");
+    cold.warmUpLeftMs = LONGEST;
+    directory.onServerList({cold}, NOW);
+    CHECK(directory.find("a")->warmUpUntil > NOW);
+    directory.onReport("a", {.leavesMs = LONGEST}, NOW);
+    CHECK(*directory.find("a")->shutdownAt > NOW);
+    directory.onReport("a", {.leavesMs = INT64_MIN}, NOW);
+    CHECK(*directory.find("a")->shutdownAt < NOW);
+    directory.onReport("a",
+                       {.rateLimit = server_rate_limit{.milliPerSecond = 1, .ageMs = INT64_MIN},
+                        .limitedForMs = LONGEST},
+                       NOW);
+    CHECK(directory.find("a")->limitedUntil > NOW);
+}
+
+TEST_CASE("a leaving server gets work again because an older entry of its process is read")
+{
+    server_directory directory({});
+    auto entry = entryOf("a");
+    entry.bornUnixMs = 7;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::leaving;
+    directory.onServerList({entry}, {});
+    entry.state = server_state::ready;
+    CHECK(directory.onServerList({entry}, {1 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableServers("engines", {1 * US_PER_SECOND}).empty());
+    directory.onServerList({}, {2 * US_PER_SECOND});
+    directory.onServerList({entry}, {3 * US_PER_SECOND});
+    CHECK(directory.usableServers("engines", {3 * US_PER_SECOND}).empty());
+    entry.bornUnixMs = 8;
+    CHECK(directory.onServerList({entry}, {4 * US_PER_SECOND}).joined.size() == 1);
+    CHECK(directory.usableServers("engines", {4 * US_PER_SECOND}).size() == 1);
+}
+
+TEST_CASE(
+    "a process that has stated that it is leaving gets no new work from older lists or reports")
+{
+    server_directory directory({});
+    auto first = entryOf("a");
+    first.bornUnixMs = 5;
+    directory.onServerList({first}, {});
+    CHECK(directory.onStatedLeaving("a"));
+    CHECK_FALSE(directory.onStatedLeaving("a"));
+    CHECK_FALSE(directory.onReport("a", {.bornUnixMs = 5}, {}));
+    CHECK(directory.onServerList({first}, {}).leaving.empty());
+    CHECK(directory.usableServers("engines", {}).empty());
+    CHECK(directory.allLeaving("engines"));
+
+    SUBCASE("nor after it was removed from the list and is listed again")
+    {
+        directory.onServerList({}, {});
+        REQUIRE(directory.onServerList({}, {7 * US_PER_SECOND}).gone.size() == 1);
+        directory.onServerList({first}, {8 * US_PER_SECOND});
+        CHECK(directory.usableServers("engines", {8 * US_PER_SECOND}).empty());
+    }
+    SUBCASE("its successor with the same id does")
+    {
+        auto next = first;
+        next.bornUnixMs = 9;
+        directory.onServerList({next}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+        CHECK_FALSE(directory.allLeaving("engines"));
+    }
+    SUBCASE("its successor at another address does")
+    {
+        auto next = first;
+        next.address.port = 81;
+        directory.onServerList({next}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+    }
+    SUBCASE("its successor that reports before it is listed does")
+    {
+        directory.onReport("a", {.bornUnixMs = 9}, {});
+        CHECK(directory.usableServers("engines", {}).size() == 1);
+    }
+}
+
+TEST_CASE("a process that has stated that it is leaving before it was listed gets no new work once "
+          "it is listed")
+{
+    server_directory directory({});
+    auto predecessor = entryOf("a");
+    predecessor.bornUnixMs = 5;
+    directory.onServerList({predecessor}, {});
+    directory.onReport("a", {.bornUnixMs = 9}, {});
+    directory.onStatedLeaving("a");
+    auto listed = predecessor;
+    listed.bornUnixMs = 9;
+    directory.onServerList({listed}, {});
+    CHECK(directory.usableServers("engines", {}).empty());
+}
+
+TEST_CASE("a server's pause ends at the latest time stated, and with its process")
+{
+    server_directory directory({});
+    directory.onServerList({entryOf("a")}, {});
+    CHECK(directory.onRetryAfter("a", 5'000, {}));
+    CHECK_FALSE(directory.onRetryAfter("a", 1'000, {}));
+    CHECK(directory.unavailableUntil("engines", {}) == time_us{5 * US_PER_SECOND});
+    directory.recordSuccess("a");
+    CHECK(directory.unavailableUntil("engines", {}));
+    CHECK_FALSE(directory.unavailableUntil("engines", {5 * US_PER_SECOND}));
+
+    SUBCASE("an endless pause is bounded")
+    {
+        CHECK(directory.onRetryAfter("a", 1'000'000'000'000, {6 * US_PER_SECOND}));
+        CHECK(directory.unavailableUntil("engines", {6 * US_PER_SECOND})
+              == time_us{306 * US_PER_SECOND});
+    }
+    SUBCASE("no pause is none")
+    {
+        CHECK_FALSE(directory.onRetryAfter("a", 0, {6 * US_PER_SECOND}));
+        CHECK_FALSE(directory.unavailableUntil("engines", {6 * US_PER_SECOND}));
+    }
+    SUBCASE("a new process has none")
+    {
+        auto next = entryOf("a");
+        next.bornUnixMs = 7;
+        directory.onServerList({next}, {});
+        CHECK_FALSE(directory.unavailableUntil("engines", {}));
+    }
+    SUBCASE("a process that was missing from the list for a while still has it")
+    {
+        directory.onRetryAfter("a", 60'000, {});
+        directory.onServerList({}, {});
+        directory.onServerList({}, {20 * US_PER_SECOND});
+        directory.onServerList({entryOf("a")}, {21 * US_PER_SECOND});
+        CHECK(directory.unavailableUntil("engines", {21 * US_PER_SECOND})
+              == time_us{60 * US_PER_SECOND});
+    }
+}
+
+TEST_CASE("a server with a limit and a pause is available after the later of both")
+{
+    server_directory directory({});
+    directory.onServerList({entryOf("a"), entryOf("b")}, {});
+    directory.onRetryAfter("a", 5'000, {});
+    directory.onRateLimit("a", 1, {});
+    CHECK_FALSE(directory.unavailableUntil("engines", {}));
+    directory.onRetryAfter("b", 1'000, {});
+    CHECK(directory.unavailableUntil("engines", {}) == time_us{1 * US_PER_SECOND});
+    CHECK(directory.find("a")->availableAt() >= time_us{5 * US_PER_SECOND});
+}
+
+TEST_CASE("an entry without a start time makes a leaving server a new one")
+{
+    server_directory directory({});
+    auto entry = entryOf("a");
+    entry.bornUnixMs = 7;
+    entry.state = server_state::leaving;
+    directory.onServerList({entry}, {});
+    directory.onStatedLeaving("a");
+    entry.bornUnixMs = 0;
+    entry.state = server_state::ready;
+    CHECK(directory.onServerList({entry}, {1 * US_PER_SECOND}).joined.empty());
+    CHECK(directory.usableServers("engines", {1 * US_PER_SECOND}).empty());
+    entry.bornUnixMs = 8;
+    CHECK(directory.onServerList({entry}, {2 * US_PER_SECOND}).joined.size() == 1);
+    CHECK(directory.usableServers("engines", {2 * US_PER_SECOND}).size() == 1);
+}
