Upstream: tests for answers that are cut within their head or their framing

Cause: an operator reported 200 with an empty or short body, framed as whole, after a server had stopped in the middle of an answer's head. Change: tests only. Each prefix of heads with a length, with chunks and with neither, for plain answers and streams, and each prefix of a framed body, ends as a failed exchange.

--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -275,3 +275,56 @@
     checkClosed({.repeat = other + "Content-Length: 1\r\n\r\nx"}, false);
     checkClosed({.begin = "HTTP/1.1 200 OK\r\n\r\n", .repeat = std::string(4'096, 'x')}, false);
 }
+
+// A server stopped in the middle of its answer's head and closed; the caller got status 200 with an
+// empty or short body that looked complete.
+TEST_CASE("an answer whose head is cut anywhere is passed on as complete")
+{
+    struct framing
+    {
+        std::string fields;
+        std::string body;
+        bool stream = false;
+    };
+    const std::vector<framing> framings{
+        {.fields = "Content-Length: 3\r\n", .body = "all"},
+        {.fields = "Transfer-Encoding: chunked\r\n", .body = "3\r\nall\r\n0\r\n\r\n"},
+        {.fields = "Connection: close\r\n", .body = "all"},
+        {.fields = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n",
+         .body = "7\r\nid: 1\n\n\r\n0\r\n\r\n",
+         .stream = true},
+        {.fields = "Content-Type: text/event-stream\r\n", .body = "id: 1\n\n", .stream = true},
+    };
+    for (const auto &framing : framings) {
+        const auto head = HEAD + framing.fields + "\r\n";
+        CAPTURE(head);
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            CAPTURE(length);
+            exchange_fixture f({.begin = head.substr(0, length), .end = answer_end::close},
+                               framing.stream);
+            CHECK(f.error());
+            CHECK(f.streamEvents() == 0);
+        }
+        exchange_fixture whole({.begin = head + framing.body, .end = answer_end::close},
+                               framing.stream);
+        CHECK_FALSE(whole.error());
+    }
+}
+
+TEST_CASE("a body that is cut within its length or its chunks is passed on as complete")
+{
+    const std::vector<std::string> framed{
+        HEAD + "Content-Length: 3\r\n\r\nall",
+        HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n",
+        STREAM_HEAD + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n"};
+    for (const auto &answer : framed) {
+        CAPTURE(answer);
+        for (auto length = answer.find("\r\n\r\n") + 4; length < answer.size(); ++length) {
+            CAPTURE(length);
+            exchange_fixture f({.begin = answer.substr(0, length), .end = answer_end::close},
+                               answer.starts_with(STREAM_HEAD));
+            CHECK(f.error());
+            CHECK_FALSE(f.completed());
+        }
+    }
+}
