--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -4,6 +4,7 @@
 #include "framework/global/clock.h"
 #include "innerprotocol/reportframes.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -158,10 +159,13 @@
         return pool && pool->engine ? &*pool->engine : nullptr;
     }
     auto tokensPerEvent() const -> std::uint32_t { return engine() ? engine()->tokensPerEvent : 1; }
-    /// Tokens produced so far, estimated from the number of events.
+    /// Tokens produced so far, estimated from the number of events. A server may number its events
+    /// as it likes.
     auto producedTokens() const -> std::uint32_t
     {
-        return static_cast<std::uint32_t>(lastEvent * tokensPerEvent());
+        constexpr std::uint64_t MAX_TOKENS = UINT32_MAX;
+        const auto events = std::min(lastEvent, MAX_TOKENS);
+        return static_cast<std::uint32_t>(std::min(events * tokensPerEvent(), MAX_TOKENS));
     }
     auto promptTokens() const -> std::uint32_t { return request->generation.promptTokens; }
 };
