Servers: a process whose address a later one has taken gets no more requests

Cause: after all hosts had lost power, entries knew only the published list, with the processes from before. Change: a report with a later start marks older entries at its address as replaced. A reporter tells its listeners, who know its address, which process has started, instead of one entry that passes it on; what listeners get is not relayed.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -72,6 +72,8 @@
             m_servers.logJoined(entry, "announced");
         }
     }
+    /// Another process has taken the address of a server: the listed one no longer exists.
+    auto onReplaced(const std::string &id) -> void { m_servers.onReplaced(id); }
     auto onReport(const std::string &id, server_report report) -> void
     {
         m_entryCount.onReport(report.listeners, m_clock.now());
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -37,13 +37,18 @@
 {
     server_entry entry;
 };
+/// A reporter has seen a later process at the address of a backend server.
+struct server_replaced
+{
+    std::string serverId;
+};
 /// What other entries have seen of their runs.
 struct observations_received
 {
     std::vector<run_observation> observations;
 };
-using report_event
-    = std::variant<server_reported, room_replied, server_announced, observations_received>;
+using report_event = std::variant<server_reported, room_replied, server_announced, server_replaced,
+                                  observations_received>;
 
 using directory_event = std::variant<table_changed, servers_changed>;
 
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -16,7 +16,7 @@
 
 struct forwarding_duty::impl
 {
-    using core_type = forwarding_core<sampled_least_loaded, system_clock_source, impl>;
+    using core_type = forwarding_core<sampled_least_added_time, system_clock_source, impl>;
 
     impl(forwarding_options options, forward_rings &rings, log_writer eventLog,
          process_state &sharedState, metric_set<forwarding_metric> &metricSet,
@@ -248,6 +248,8 @@
         m_impl->core.onReport(reported->serverId, std::move(reported->report));
     } else if (auto *replied = std::get_if<room_replied>(&event)) {
         m_impl->core.onRoomReply(std::move(*replied));
+    } else if (const auto *replaced = std::get_if<server_replaced>(&event)) {
+        m_impl->core.onReplaced(replaced->serverId);
     } else if (const auto *received = std::get_if<observations_received>(&event)) {
         m_impl->core.onObservations(received->observations);
     } else {
--- a/src/forwarding/serverobserver.h
+++ b/src/forwarding/serverobserver.h
@@ -30,6 +30,13 @@
         logRateLimitChange(id, limitBefore, "report");
         return becameLeaving;
     }
+    auto onReplaced(const std::string &id) -> void
+    {
+        if (m_directory.onReplaced(id)) {
+            m_sink.log(log_event::server_gone, {},
+                       {{"server", id}, {"cause", std::string("replaced")}});
+        }
+    }
     /// Takes what an answer states about its server. Returns true if the server is now leaving and
     /// was not before.
     auto onAnswer(const std::string &id, const response_head &head) -> bool
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -95,6 +95,9 @@
 /// started, which the published list may not show yet.
 struct server_news_frame
 {
+    /// Path of an announcement: reporter, entry, another reporter, all its entries.
+    static constexpr std::uint32_t MAX_RELAYS = 2;
+
     std::string id;
     std::string pool;
     std::string dataCentre;
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -27,8 +27,6 @@
 /// Requests to each reporter for the observations that it keeps; more than one, since datagrams get
 /// lost.
 constexpr std::uint32_t OBSERVATION_REQUEST_COUNT = 2;
-/// Path of an announcement: reporter, entry, another reporter, all its entries.
-constexpr std::uint32_t MAX_RELAYS = 2;
 
 auto isListed(const servers_changed &changed, const std::string &serverId) -> bool
 {
@@ -71,8 +69,13 @@
         std::optional<time_us> unlistedAt;
         /// Known from an announcement, not from the published list.
         bool announced = false;
+        /// A later process has been seen at its address.
+        bool replaced = false;
     };
 
+    /// Ids and start times of servers that were announced.
+    using announcement_set = std::set<std::pair<std::string, std::int64_t>>;
+
     /// By the server's address. Several entries may share one: that of a server which crashed and
     /// of its successor, or an odd one that another writer has left.
     using reporter_map = std::unordered_multimap<std::string, reporter_state>;
@@ -140,17 +143,18 @@
     auto onAnnouncement(server_news_frame announcement) -> void
     {
         const auto where = parseEndpoint(announcement.server);
-        if (!where || !isAddressable({.id = announcement.id, .address = *where})
-            || !seenAnnouncements.insert({announcement.id, announcement.bornUnixMs}).second) {
+        if (!where || !isAddressable({.id = announcement.id, .address = *where})) {
             return;
         }
-        if (seenAnnouncements.size() > SEEN_ANNOUNCEMENT_LIMIT) {
-            seenAnnouncements.clear();
-        }
-        metrics.add(reports_metric::servers_announced);
-        if (announcement.relays < MAX_RELAYS) {
+        // The reporter's own listeners get it without relays, perhaps before a copy to be relayed.
+        if (announcement.relays < server_news_frame::MAX_RELAYS
+            && isNew(relayedAnnouncements, announcement)) {
             relay(announcement);
         }
+        if (!isNew(seenAnnouncements, announcement)) {
+            return;
+        }
+        metrics.add(reports_metric::servers_announced);
         if (findReporter(announcement.server, announcement.id) == reporters.end()) {
             reporter_state state{.serverId = announcement.id,
                                  .bornUnixMs = announcement.bornUnixMs,
@@ -167,6 +171,13 @@
                                                 .slots = announcement.slots,
                                                 .bornUnixMs = announcement.bornUnixMs}});
     }
+    static auto isNew(announcement_set &known, const server_news_frame &announcement) -> bool
+    {
+        if (known.size() >= SEEN_ANNOUNCEMENT_LIMIT) {
+            known.clear();
+        }
+        return known.insert({announcement.id, announcement.bornUnixMs}).second;
+    }
     auto relay(server_news_frame announcement) -> void
     {
         ++announcement.relays;
@@ -267,10 +278,23 @@
     }
     auto onReport(const server_report_frame &report) -> void
     {
+        markReplaced(report);
         for (auto *state : statesFor(report)) {
             onReport(*state, report);
         }
     }
+    /// An address has one process: an entry with an earlier start is that of one which has ended.
+    auto markReplaced(const server_report_frame &report) -> void
+    {
+        const auto [begin, end] = reporters.equal_range(report.server);
+        for (auto at = begin; at != end; ++at) {
+            auto &state = at->second;
+            const auto earlier = state.bornUnixMs != 0 && state.bornUnixMs < report.bornUnixMs;
+            if (earlier && !std::exchange(state.replaced, true)) {
+                reports.push(server_replaced{state.serverId});
+            }
+        }
+    }
     auto onReport(reporter_state &state, const server_report_frame &report) -> void
     {
         const auto otherProcess = report.bornUnixMs != 0 && state.bornUnixMs != 0
@@ -327,8 +351,8 @@
     reporter_map reporters;
     std::uint64_t round = 0;
     random_source random{systemSeed()};
-    /// Ids and start times of the servers that were announced.
-    std::set<std::pair<std::string, std::int64_t>> seenAnnouncements;
+    announcement_set seenAnnouncements;
+    announcement_set relayedAnnouncements;
 };
 
 reports_duty::reports_duty(reports_options options, forward_rings &rings, process_state &state)
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -79,8 +79,9 @@
 /// Decides when entries get a report on a backend server: at once when it leaves, stops answering
 /// or restarts, or when its queue of unread prompts changes; otherwise at a fixed interval. While a
 /// server is leaving or not answering, every poll is reported, since datagrams get lost. A started
-/// server is announced, because the published list shows it late, or never while the service that
-/// publishes it is down. Not thread safe: belongs to one duty.
+/// server is announced to its listeners, who know the process that was at its address before, and
+/// to other entries: the published list shows it late, or never while the service that publishes it
+/// is down. Not thread safe: belongs to one duty.
 template <clock_source Clock, typename Sink>
 class report_core
 {
@@ -113,6 +114,7 @@
         m_listeners.insert_or_assign(key, listener_state{listener, now});
         if (!known && m_polled) {
             m_sink.send(listener, nextReport());
+            announceTo(listener);
         }
         const auto repeatSince = now + -m_options.observationRepeatUs;
         sendObservations(listener, missedNone ? m_observations.collect(repeatSince, now)
@@ -199,8 +201,7 @@
     /// Whether the server's identity is needed to announce it.
     auto wantsIdentity() const -> bool
     {
-        return m_announceUntil && !m_identity && !m_options.entries.empty()
-               && m_clock.now() >= m_identityAt;
+        return m_announceUntil && !m_identity && m_clock.now() >= m_identityAt;
     }
     /// Takes the server's identity; nullopt if the request failed. A server that was too busy to
     /// return it may ask for a longer pause before the next request.
@@ -209,6 +210,9 @@
         m_identity = std::move(identity);
         m_identityAt
             = m_clock.now() + std::max(m_options.identityRetryUs, retryAfterMs * US_PER_MS);
+        for (const auto &[key, listener] : m_listeners) {
+            announceTo(listener.where);
+        }
         announce();
     }
     auto onReport(const server_report &seen) -> void
@@ -290,22 +294,41 @@
             m_announceUntil = m_clock.now() + m_options.announceDurationUs;
         }
     }
+    auto mayAnnounce() const -> bool
+    {
+        const auto leaving = m_report.leaving || m_report.leavesKnown;
+        return m_identity && !leaving && m_report.answering;
+    }
+    /// Precondition: mayAnnounce().
+    auto announcement() const -> server_news_frame
+    {
+        return {.id = m_identity->id,
+                .pool = m_options.pool,
+                .dataCentre = m_options.dataCentre,
+                .server = m_report.server,
+                .slots = m_identity->slots,
+                .bornUnixMs = m_report.bornUnixMs};
+    }
+    /// Listeners all get the announcement from here, so they need not relay it.
+    auto announceTo(const endpoint &listener) -> void
+    {
+        if (mayAnnounce()) {
+            auto message = announcement();
+            message.relays = server_news_frame::MAX_RELAYS;
+            m_sink.send(listener, message);
+        }
+    }
+    /// Announces a started server to an entry that may not know this reporter.
     auto announce() -> void
     {
         const auto now = m_clock.now();
-        const auto leaving = m_report.leaving || m_report.leavesKnown;
         const auto due = m_announceUntil && now < *m_announceUntil && now >= m_announceAt;
-        if (!due || !m_identity || leaving || !m_report.answering) {
+        if (!due || !mayAnnounce() || m_options.entries.empty()) {
             return;
         }
         m_announceAt = now + m_options.announceIntervalUs;
         const auto &to = m_options.entries[m_announcementsSent++ % m_options.entries.size()];
-        m_sink.send(to, server_news_frame{.id = m_identity->id,
-                                          .pool = m_options.pool,
-                                          .dataCentre = m_options.dataCentre,
-                                          .server = m_report.server,
-                                          .slots = m_identity->slots,
-                                          .bornUnixMs = m_report.bornUnixMs});
+        m_sink.send(to, announcement());
     }
     /// Run that is being moved here. Only one at a time, since copies share the server's link.
     struct incoming_move
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -1,5 +1,6 @@
 #include "reporting/reportcore.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace marjoram;
@@ -247,3 +248,26 @@
         CHECK_FALSE(f.core.wantsIdentity());
     }
 }
+
+// Entries that had just started knew only the process that had ended, and learnt of its successor
+// when the published list showed it, over a second later.
+TEST_CASE("an entry that asks for reports does not learn which process has just started")
+{
+    fixture f;
+    f.core.onReportRequest(f.entry);
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    f.core.onIdentity(server_identity{.id = "s", .slots = 24});
+    const auto sentTo = [&f](const endpoint &where) {
+        return std::count_if(f.sink.announcements.begin(), f.sink.announcements.end(),
+                             [&](const auto &one) {
+                                 return one.first == where && one.second.id == "s"
+                                        && one.second.relays == server_news_frame::MAX_RELAYS;
+                             });
+    };
+    CHECK(sentTo(f.entry) == 1);
+    const endpoint later{.address = "10.0.0.8", .port = 7};
+    f.core.onReportRequest(later);
+    CHECK(sentTo(later) == 1);
+    f.core.onReportRequest(later);
+    CHECK(sentTo(later) == 1);
+}
--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -79,8 +79,11 @@
         if (const auto *reported = std::get_if<server_reported>(&event)) {
             m_reported = reported->serverId;
             m_context.stop();
+        } else if (const auto *replaced = std::get_if<server_replaced>(&event)) {
+            m_replaced.push_back(replaced->serverId);
         }
     }
+    auto replacedServers() const -> const std::vector<std::string> & { return m_replaced; }
 
 private:
     // Below the range from which the kernel draws.
@@ -117,6 +120,7 @@
     std::uint64_t m_sequence = 0;
     bool m_awaitsRequest = false;
     std::string m_reported;
+    std::vector<std::string> m_replaced;
 };
 
 } // namespace
@@ -141,3 +145,14 @@
                             reports_fixture::entryOf("b-restarted", BORN)})
           == "b-restarted");
 }
+
+// After all hosts had lost power, entries sent each request to listed processes that had ended, and
+// the new ones at their addresses refused it three times in a row.
+TEST_CASE("a listed process still gets requests although a later one reports from its address")
+{
+    reports_fixture f;
+    f.reportedServer({reports_fixture::entryOf("a-ended", BORN - 1),
+                      reports_fixture::entryOf("b-restarted", BORN),
+                      reports_fixture::entryOf("c-odd", 0)});
+    CHECK(f.replacedServers() == std::vector<std::string>{"a-ended"});
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -104,6 +104,12 @@
     return becameLeaving;
 }
 
+auto server_directory::onReplaced(const std::string &id) -> bool
+{
+    auto *view = findMutable(id);
+    return view && !std::exchange(view->replaced, true);
+}
+
 auto server_directory::onStatedLeaving(const std::string &id) -> bool
 {
     auto *view = findMutable(id);
@@ -367,7 +373,7 @@
 auto server_directory::isUsable(const server_view &view, time_us now) const -> bool
 {
     const auto silent = !view.report || now - view.reportAt > m_options.announcedReportMaxAgeUs;
-    return !view.leaving() && !(view.announced && silent);
+    return !view.leaving() && !view.replaced && !(view.announced && silent);
 }
 
 /// Returns the view of a process that has just been listed. It keeps what the process has stated
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -77,6 +77,9 @@
     auto onAnnounced(const server_entry &entry, time_us now) -> bool;
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
+    /// A later process has been seen at the server's address; this one gets no more requests.
+    /// Returns false if that was known or the server is unknown.
+    auto onReplaced(const std::string &id) -> bool;
     /// An answer of the server states that it is leaving. This holds until its process is replaced.
     /// Returns true if the server was not known to be leaving.
     auto onStatedLeaving(const std::string &id) -> bool;
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -22,6 +22,8 @@
     /// Start time of the process that has stated in an answer that it is leaving. Such a process
     /// never accepts new work again, whatever older lists and reports say.
     std::optional<std::int64_t> statedLeavingBornUnixMs;
+    /// A later process has been seen at its address, so this one has ended; the list lags behind.
+    bool replaced = false;
     /// Known only from its reporter; not in the published list yet.
     bool announced = false;
     /// When a published list first lacked this announced server.
