Placement: generations go where they add the least time

Cause: engines were chosen by the share of memory in use. Ruled out: missing room or late notice. Change: reporters measure the pace of their engine's runs (pace_estimator) and report it. A generation goes to the engine of a sample with the least added time: its own output at that pace, its wait for earlier prompts, what its prompt and its tokens cost the runs there, and a share that grows with the square of the memory in use. Reports have one more field: entries and reporters of the version before drop each other's reports and place without them, until both are updated.

--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -6,6 +6,7 @@
 #include "serverviews/serverview.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,11 @@
     bool moving = false;
     /// Expected KV cache memory, in tokens.
     std::uint64_t expectedTokens = 0;
+    /// Of these, prompt to be read and output still to be produced.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0;
+    /// Time within which its first token is wanted.
+    std::int64_t latencyTargetUs = US_PER_SECOND;
     /// Number of entries that place requests by the same reports.
     std::uint32_t entries = 1;
     time_us now;
@@ -70,9 +76,11 @@
     return known + view.sentSinceReport;
 }
 
-/// Takes a random sample of the servers with room and chooses the one with the lowest share of
-/// memory or slots in use and the fewest prompts to read.
-struct sampled_least_loaded
+/// Takes a random sample of the servers with room. For a plain request it chooses the one with the
+/// lowest share of slots in use; for a generation the one where it adds the least time, to itself
+/// and to the generations that run there. So long generations gather on fast engines, and prompts
+/// are read where few generations have to pause for them.
+struct sampled_least_added_time
 {
     static auto choose(const placement_query &query,
                        const std::vector<const server_view *> &candidates, random_source &random)
@@ -87,6 +95,7 @@
                 withRoom.push_back(view);
             }
         }
+        const auto usPerToken = typicalUsPerToken(query, candidates);
         const server_view *best = nullptr;
         double bestScore = 0.0;
         for (std::size_t remaining = sampleSize(query, withRoom.size()); remaining > 0;
@@ -95,7 +104,8 @@
             const auto index = random() % withRoom.size();
             const auto *view = std::exchange(withRoom[index], withRoom.back());
             withRoom.pop_back();
-            const auto score = scoreOf(query, *view) + jitter(query, random);
+            const auto score = isGeneration(query) ? addedUs(query, *view, usPerToken, random)
+                                                   : plainScore(query, *view, random);
             if (!best || score < bestScore) {
                 best = view;
                 bestScore = score;
@@ -110,7 +120,7 @@
         if (availableAt > query.now) {
             return false;
         }
-        if (!query.generation || !query.pool->engine) {
+        if (!isGeneration(query)) {
             return true;
         }
         const auto usableTokens = static_cast<double>(capacityOf(query, view))
@@ -125,6 +135,8 @@
     /// Sample size per server in an entry's share of the pool.
     static constexpr std::size_t SAMPLES_PER_SHARE = 2;
     static constexpr std::size_t MIN_SAMPLE = 2;
+    /// Larger for engines: their reporters keep entries from choosing the same one together.
+    static constexpr std::size_t MIN_ENGINE_SAMPLE = 6;
     /// The rest of the memory is kept free for running generations to grow and for generations that
     /// move here.
     static constexpr double USABLE_MEMORY = 0.92;
@@ -132,25 +144,53 @@
     static constexpr std::uint64_t GROWTH_TOKENS = 300;
     /// Moving a generation matters more than keeping room for growth; a full engine refuses it.
     static constexpr double USABLE_MEMORY_MOVING = 1.0;
+
+    // --- plain requests, in shares of a server's slots
+
     /// A server in another data centre is chosen only if its load is lower by this much.
     static constexpr double REMOTE_PENALTY = 0.03;
-    static constexpr double REMOTE_PENALTY_MOVING = 0.3;
     static constexpr double WARM_UP_PENALTY = 0.5;
-    /// Size of the random offset that spreads requests over equally loaded servers.
+    /// Width of the random offset that spreads requests over equally loaded servers.
     static constexpr double JITTER = 0.04;
+
+    // --- generations
+
+    /// Time per output token while no report tells it.
+    static constexpr double DEFAULT_US_PER_TOKEN = 10'000.0;
+    /// Time by which a token of a prompt delays the generations that run meanwhile, and the prompts
+    /// that are to be read after it.
+    static constexpr double US_PER_PROMPT_TOKEN = 75.0;
+    static constexpr double WAIT_US_PER_PROMPT_TOKEN = 150.0;
+    /// Time by which one more generation delays each token of the others.
+    static constexpr double US_PER_TOKEN_AND_RUN = 120.0;
+    static constexpr double TYPICAL_PROMPT_TOKENS = 2'500.0;
+    /// Waiting for the first token counts the more, the shorter the latency target is.
+    static constexpr double URGENT_TARGET_US = 3.0 * US_PER_SECOND;
+    /// A generation on a full engine may be preempted, and may not all be moved when the engine
+    /// leaves: this time and that of its own output count by the square of the memory in use.
+    static constexpr double CROWDING_US = 5.0 * US_PER_SECOND;
+    static constexpr double REMOTE_US = 0.1 * US_PER_SECOND;
+    /// A copy to another data centre takes twice as long, and the runs that wait for their turn at
+    /// the leaving engine may miss it.
+    static constexpr double REMOTE_MOVING_US = 10.0 * US_PER_SECOND;
+    static constexpr double WARM_UP_US = 2.0 * US_PER_SECOND;
+    static constexpr double JITTER_US = 0.1 * US_PER_SECOND;
     /// Larger for moves: servers often leave together, and their generations would otherwise all
     /// ask the emptiest server, whose link takes one copy at a time.
-    static constexpr double JITTER_MOVING = 0.25;
-    /// The delay of reading one earlier prompt weighs as much as this share of memory.
-    static constexpr double PROMPT_AHEAD_PENALTY = 0.15;
+    static constexpr double JITTER_MOVING_US = 2.0 * US_PER_SECOND;
 
+    static auto isGeneration(const placement_query &query) -> bool
+    {
+        return query.generation && query.pool->engine.has_value();
+    }
     /// The more entries place by the same reports, the smaller the sample of each; otherwise all
     /// would choose the same servers until the next report.
     static auto sampleSize(const placement_query &query, std::size_t withRoom) -> std::size_t
     {
         const auto entries = std::max<std::size_t>(1, query.entries);
         const auto share = (SAMPLES_PER_SHARE * withRoom + entries - 1) / entries;
-        return query.moving ? withRoom : std::min(withRoom, std::max(share, MIN_SAMPLE));
+        const auto least = isGeneration(query) ? MIN_ENGINE_SAMPLE : MIN_SAMPLE;
+        return query.moving ? withRoom : std::min(withRoom, std::max(share, least));
     }
     static auto capacityOf(const placement_query &query, const server_view &view) -> std::uint64_t
     {
@@ -158,25 +198,69 @@
         return std::max<std::uint64_t>(1,
                                        reported > 0 ? reported : query.pool->engine->memoryTokens);
     }
-    static auto jitter(const placement_query &query, random_source &random) -> double
+    static auto drawn(double width, random_source &random) -> double
     {
-        const auto width = query.moving ? JITTER_MOVING : JITTER;
         return width * static_cast<double>(random() >> 11) * 0x1.0p-53;
     }
-    static auto scoreOf(const placement_query &query, const server_view &view) -> double
+    static auto slotShare(const server_view &view) -> double
     {
-        const auto penalty = query.moving ? REMOTE_PENALTY_MOVING : REMOTE_PENALTY;
-        auto score = view.entry.dataCentre == query.dataCentre ? 0.0 : penalty;
-        score += view.warmUpUntil > query.now ? WARM_UP_PENALTY : 0.0;
         const auto slots = std::max<std::uint32_t>(1, view.entry.slots);
-        const auto slotShare = static_cast<double>(occupancy(view)) / slots;
-        if (!query.generation || !query.pool->engine) {
-            return score + slotShare;
+        return static_cast<double>(occupancy(view)) / slots;
+    }
+    static auto plainScore(const placement_query &query, const server_view &view,
+                           random_source &random) -> double
+    {
+        const auto remote = view.entry.dataCentre == query.dataCentre ? 0.0 : REMOTE_PENALTY;
+        const auto warmUp = view.warmUpUntil > query.now ? WARM_UP_PENALTY : 0.0;
+        return remote + warmUp + slotShare(view) + drawn(JITTER, random);
+    }
+    static auto usPerTokenOf(const placement_query &query, const server_view &view)
+        -> std::optional<double>
+    {
+        if (!view.report || view.report->usPerEvent == 0) {
+            return std::nullopt;
         }
+        const auto tokens = std::max<std::uint32_t>(1, query.pool->engine->tokensPerEvent);
+        return static_cast<double>(view.report->usPerEvent) / tokens;
+    }
+    /// Mean over the servers whose pace is known.
+    static auto typicalUsPerToken(const placement_query &query,
+                                  const std::vector<const server_view *> &views) -> double
+    {
+        double sum = 0.0;
+        std::size_t known = 0;
+        for (const auto *view : views) {
+            const auto pace = isGeneration(query) ? usPerTokenOf(query, *view) : std::nullopt;
+            sum += pace.value_or(0.0);
+            known += pace ? 1 : 0;
+        }
+        return known > 0 ? sum / static_cast<double>(known) : DEFAULT_US_PER_TOKEN;
+    }
+    /// Time that the generation would take there beyond reading its own prompt, and that it would
+    /// add to the generations that run there.
+    static auto addedUs(const placement_query &query, const server_view &view,
+                        double typicalUsPerToken, random_source &random) -> double
+    {
+        const auto output = static_cast<double>(query.outputTokens);
+        const auto running = static_cast<double>(occupancy(view));
+        const auto ownUs = output * usPerTokenOf(query, view).value_or(typicalUsPerToken);
+        const auto othersUs = running
+                              * (static_cast<double>(query.promptTokens) * US_PER_PROMPT_TOKEN
+                                 + output * US_PER_TOKEN_AND_RUN);
+        const auto targetUs
+            = std::max(static_cast<double>(query.latencyTargetUs), double{US_PER_MS});
+        const auto waitUs = query.moving ? 0.0
+                                         : promptsAhead(view) * TYPICAL_PROMPT_TOKENS
+                                               * WAIT_US_PER_PROMPT_TOKEN
+                                               * (1.0 + URGENT_TARGET_US / targetUs);
         const auto memoryShare = static_cast<double>(committedTokens(view))
                                  / static_cast<double>(capacityOf(query, view));
-        const auto ahead = query.moving ? 0 : promptsAhead(view);
-        return score + std::max(memoryShare, slotShare) + PROMPT_AHEAD_PENALTY * ahead;
+        const auto full = std::max(memoryShare, slotShare(view));
+        const auto remoteUs = query.moving ? REMOTE_MOVING_US : REMOTE_US;
+        return waitUs + ownUs + othersUs + (ownUs + CROWDING_US) * full * full
+               + (view.entry.dataCentre == query.dataCentre ? 0.0 : remoteUs)
+               + (view.warmUpUntil > query.now ? WARM_UP_US : 0.0)
+               + drawn(query.moving ? JITTER_MOVING_US : JITTER_US, random);
     }
 };
 
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -120,6 +120,9 @@
             .generation = request.isGeneration(),
             .moving = moving,
             .expectedTokens = moving ? movedTokens : expectedTokens(request),
+            .promptTokens = moving ? 0 : request.promptTokens(),
+            .outputTokens = remainingTokens(request),
+            .latencyTargetUs = toUs(request.route->latencyTargetMs),
             .entries = m_entryCount,
             .now = m_clock.now()};
         return Placement::choose(query, candidates, m_random);
@@ -132,7 +135,15 @@
         const auto output
             = std::min(params.outputEstimate.value_or(static_cast<std::uint32_t>(share)),
                        params.maxOutputTokens);
-        return params.promptTokens + std::max(output, request.producedTokens());
+        return std::uint64_t{params.promptTokens} + std::max(output, request.producedTokens());
+    }
+
+    /// Output that the request is expected still to produce.
+    auto remainingTokens(const request_state &request) const -> std::uint64_t
+    {
+        const auto expected = expectedTokens(request);
+        const auto present = std::uint64_t{request.promptTokens()} + request.producedTokens();
+        return expected - std::min(expected, present);
     }
 
     auto nextTimer() const -> std::optional<time_us> { return m_timers.next(); }
@@ -220,9 +231,11 @@
     /// Number of prompts that may be read before this one without missing the latency target.
     auto maxPromptsAhead(const request_state &request) const -> std::uint32_t
     {
+        constexpr double MAX_PROMPTS = 1e6;
         const auto us = static_cast<double>(toUs(request.route->latencyTargetMs));
-        return static_cast<std::uint32_t>(us * m_options.prefillShare
-                                          / static_cast<double>(m_options.prefillUs));
+        return static_cast<std::uint32_t>(
+            std::clamp(us * m_options.prefillShare / static_cast<double>(m_options.prefillUs), 0.0,
+                       MAX_PROMPTS));
     }
     auto endRoomRequest(request_state &request) -> void
     {
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -377,7 +377,7 @@
     CHECK(f.sink.callers<send_failure>().back().reason == failure::unknown_service);
     recording_sink sink;
     server_directory directory({});
-    forwarding_core<sampled_least_loaded, virtual_clock_source, recording_sink> withoutTable(
+    forwarding_core<sampled_least_added_time, virtual_clock_source, recording_sink> withoutTable(
         {}, virtual_clock_source(&f.time), 1, directory, sink);
     auto request = std::make_shared<forward_request>();
     request->target = "/book/x";
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -102,7 +102,7 @@
     virtual_clock_source::state time;
     server_directory directory{{}};
     recording_sink sink;
-    forwarding_core<sampled_least_loaded, virtual_clock_source, recording_sink> core{
+    forwarding_core<sampled_least_added_time, virtual_clock_source, recording_sink> core{
         {.dataCentre = "d", .initialEntryCount = 1},
         virtual_clock_source(&time),
         1,
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -52,6 +52,8 @@
     bool rateLimitKnown = false;
     server_rate_limit rateLimit;
     std::int64_t limitedForMs = 0;
+    /// Time that each run takes for one event at present; 0 if unknown.
+    std::uint32_t usPerEvent = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -76,6 +78,7 @@
         visit(self.rateLimitKnown);
         visit(self.rateLimit);
         visit(self.limitedForMs);
+        visit(self.usPerEvent);
     }
 };
 
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -51,7 +51,8 @@
             .turn = frame.turn,
             .listeners = frame.listeners,
             .rateLimit = frame.rateLimitKnown ? std::optional(frame.rateLimit) : std::nullopt,
-            .limitedForMs = frame.limitedForMs};
+            .limitedForMs = frame.limitedForMs,
+            .usPerEvent = frame.usPerEvent};
 }
 
 } // namespace
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -6,6 +6,7 @@
 #include "limits/ratelimiter.h"
 #include "quarantine/observationlog.h"
 #include "reporting/evacuationscheduler.h"
+#include "reporting/paceestimator.h"
 #include "serverviews/serverentry.h"
 
 #include <map>
@@ -65,6 +66,7 @@
     /// Memory by which each run is expected to grow before others finish, in tokens.
     std::uint64_t growthPerRunTokens = 300;
     evacuation_options evacuation;
+    pace_estimator_options pace;
     /// Longest time that one run being moved here blocks the link for other moves.
     std::int64_t incomingMoveTimeoutUs = 800 * US_PER_MS;
 };
@@ -94,6 +96,7 @@
         , m_observations(m_options.observations)
         , m_rateLimiter(m_options.rateLimit)
         , m_evacuation(m_options.evacuation)
+        , m_pace(m_options.pace)
     {
         static_assert(report_sink<Sink>);
         m_report.server = std::move(server);
@@ -230,6 +233,8 @@
         m_report.usedTokens = seen.usedTokens;
         m_report.capacityTokens = seen.capacityTokens;
         m_report.nextTokens = seen.nextTokens;
+        m_pace.onRuns(seen.runs, m_clock.now());
+        m_report.usPerEvent = m_pace.usPerEvent();
         for (const auto &run : seen.runs) {
             m_grants.erase(run.requestId);
         }
@@ -284,6 +289,7 @@
         const auto unixMs = m_clock.unixMs();
         const auto justStarted = seen.bornUnixMs > unixMs - m_options.justStartedAgeMs
                                  && seen.bornUnixMs < unixMs + m_options.justStartedAgeMs;
+        m_pace = pace_estimator(m_options.pace);
         m_identity.reset();
         m_announceUntil.reset();
         m_identityAt = {};
@@ -465,6 +471,7 @@
     rate_limiter m_rateLimiter;
     time_us m_rateLimitSeenAt;
     evacuation_scheduler m_evacuation;
+    pace_estimator m_pace;
     std::optional<incoming_move> m_incomingMove;
     std::uint32_t m_unansweredPolls = 0;
     bool m_polled = false;
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -271,3 +271,19 @@
     f.core.onReportRequest(later);
     CHECK(sentTo(later) == 1);
 }
+
+TEST_CASE("the pace of the runs is reported, whatever the length of prompts")
+{
+    fixture f;
+    f.core.onReportRequest(f.entry);
+    constexpr std::int64_t POLL_MS = 80;
+    constexpr std::uint64_t EVENTS_PER_POLL = 2;
+    for (std::uint64_t poll = 0; poll < 40; ++poll) {
+        f.core.onReport({.capacityTokens = 30'000,
+                         .runs = {{"a", 3'000, 1 + poll * EVENTS_PER_POLL},
+                                  {"b", 3'000, 1 + poll * EVENTS_PER_POLL},
+                                  {"reads-prompt", 3'000, 0}}});
+        f.advance(POLL_MS);
+    }
+    CHECK(f.sink.reports.back().usPerEvent == POLL_MS * US_PER_MS / EVENTS_PER_POLL);
+}
--- a/src/reporting/tests/virtualfleet.h
+++ b/src/reporting/tests/virtualfleet.h
@@ -313,7 +313,7 @@
         endpoint address;
         std::uint32_t rounds = 0;
         server_directory directory;
-        forwarding_core<sampled_least_loaded, virtual_clock_source, entry> core;
+        forwarding_core<sampled_least_added_time, virtual_clock_source, entry> core;
     };
 
     auto table() const -> route_table_ptr
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -98,6 +98,8 @@
     /// Limit that entries have seen, and the time until the reporter grants a request within it.
     std::optional<server_rate_limit> rateLimit;
     std::int64_t limitedForMs = 0;
+    /// Time that each run takes for one event at present; 0 if unknown.
+    std::uint32_t usPerEvent = 0;
 };
 
 /// Load reported with a response.
