Rings and datagrams: an unexpected error drops one message, not the process

Cause: an operator reported that one unexpected error took a whole process down. Here an exception while an item of a ring or a datagram was handled left the loop of its duty and ended the process. An exception in a timer or a connection's own handler still ends the process. Measured: the test passes; it was not run on the code before.

--- a/src/framework/ring/duty.h
+++ b/src/framework/ring/duty.h
@@ -23,6 +23,8 @@
     auto context() -> boost::asio::io_context & { return m_context; }
     /// Starts the thread. Precondition: not started.
     auto start() -> void;
+    /// Tells the loop to stop and does not wait for it. Thread safe.
+    auto requestStop() -> void;
     /// Stops the loop and joins. Idempotent; not on the duty's own thread.
     auto stop() -> void;
 
--- a/src/framework/ring/internal/duty.cpp
+++ b/src/framework/ring/internal/duty.cpp
@@ -31,10 +31,15 @@
     });
 }
 
+auto duty::requestStop() -> void
+{
+    m_context.stop();
+}
+
 auto duty::stop() -> void
 {
     m_guard.reset();
-    m_context.stop();
+    requestStop();
     if (m_thread.joinable()) {
         m_thread.join();
     }
--- a/src/framework/ring/ringends.h
+++ b/src/framework/ring/ringends.h
@@ -6,6 +6,8 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <deque>
+#include <exception>
+#include <glog/logging.h>
 
 namespace marjoram {
 
@@ -40,6 +42,7 @@
 
 private:
     static constexpr int ITEMS_PER_TURN = 256;
+    static constexpr int ERRORS_PER_LOG_LINE = 64;
 
     auto drain() -> void
     {
@@ -49,10 +52,21 @@
                 sleep();
                 return;
             }
-            m_consumer.handle(std::move(item));
+            take(std::move(item));
         }
         start();
     }
+    /// An item whose handling fails is dropped: the others do not depend on it, and neither does
+    /// the process.
+    auto take(T &&item) -> void
+    {
+        try {
+            m_consumer.handle(std::move(item));
+        } catch (const std::exception &error) {
+            LOG_EVERY_N(ERROR, ERRORS_PER_LOG_LINE)
+                << "item of a ring dropped after an unexpected error: " << error.what();
+        }
+    }
     auto sleep() -> void
     {
         if (!m_source.awaitItems()) {
--- a/src/framework/ring/tests/ringtests.cpp
+++ b/src/framework/ring/tests/ringtests.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 #include <future>
+#include <stdexcept>
+#include <string>
 
 using namespace marjoram;
 
@@ -24,6 +26,25 @@
     std::promise<void> done;
 };
 
+/// Fails on every third item.
+struct failing_consumer
+{
+    auto handle(std::string &&item) -> void
+    {
+        if (item == "last") {
+            done.set_value();
+            return;
+        }
+        if (++received % 3 == 0) {
+            throw std::length_error(item);
+        }
+        ++handled;
+    }
+    int received = 0;
+    int handled = 0;
+    std::promise<void> done;
+};
+
 } // namespace
 
 TEST_CASE("a full ring refuses with a type and keeps the item")
@@ -74,3 +95,25 @@
     CHECK(writer.push(4) == ring_error::full);
     CHECK(writer.congested());
 }
+
+// One unexpected error while a message was handled left the loop of its duty and ended the process
+// with all that it was serving.
+TEST_CASE("an error while an item is handled ends the duty")
+{
+    constexpr int ITEMS = 30;
+    ring<std::string> r(64);
+    failing_consumer consumer;
+    duty worker("failing");
+    ring_reader<std::string, failing_consumer> reader(worker.context(), r, consumer);
+    for (int i = 0; i < ITEMS; ++i) {
+        REQUIRE(!r.tryPush("item"));
+    }
+    REQUIRE(!r.tryPush("last"));
+    reader.start();
+    worker.start();
+    const auto ended = consumer.done.get_future().wait_for(std::chrono::seconds(20));
+    worker.stop();
+    CHECK(ended == std::future_status::ready);
+    CHECK(consumer.received == ITEMS);
+    CHECK(consumer.handled == ITEMS * 2 / 3);
+}
--- a/src/reporting/datagramsocket.h
+++ b/src/reporting/datagramsocket.h
@@ -64,6 +64,7 @@
 
 private:
     static constexpr std::size_t DATAGRAM_LIMIT = 2'048;
+    static constexpr int ERRORS_PER_LOG_LINE = 64;
 
     auto receive() -> void
     {
@@ -90,8 +91,14 @@
             ++m_lost;
             return;
         }
-        m_owner.onDatagram({.address = m_from.address().to_string(), .port = m_from.port()},
-                           std::move(*decoded));
+        try {
+            m_owner.onDatagram({.address = m_from.address().to_string(), .port = m_from.port()},
+                               std::move(*decoded));
+        } catch (const std::exception &unexpected) {
+            ++m_lost;
+            LOG_EVERY_N(ERROR, ERRORS_PER_LOG_LINE)
+                << "datagram dropped after an unexpected error: " << unexpected.what();
+        }
     }
 
     boost::asio::ip::udp::socket m_socket;
