marjoram-front: its duties end side by side

It told its duties to stop one after the other and joined each before the next, so that on a busy host it waited for the scheduler seven times in a row. Change: all duties are told to stop before the first is joined.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -69,6 +69,8 @@
         });
         m_worker.start();
     }
+    /// See duty::requestStop().
+    auto requestStop() -> void { m_worker.requestStop(); }
     auto stop() -> void { m_worker.stop(); }
     /// Thread safe.
     auto metrics() const -> const metric_set<directory_metric> & { return m_metrics; }
--- a/src/forwarding/forwardingduty.h
+++ b/src/forwarding/forwardingduty.h
@@ -76,6 +76,8 @@
     ~forwarding_duty();
 
     auto start() -> void;
+    /// See duty::requestStop().
+    auto requestStop() -> void;
     auto stop() -> void;
     /// Refuses requests that may not finish within `stopInMs`; `process_state::drained` is set once
     /// no request is open. Thread safe.
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -191,6 +191,11 @@
     m_impl->worker.start();
 }
 
+auto forwarding_duty::requestStop() -> void
+{
+    m_impl->worker.requestStop();
+}
+
 auto forwarding_duty::stop() -> void
 {
     m_impl->worker.stop();
--- a/src/gateway/gatewayduty.h
+++ b/src/gateway/gatewayduty.h
@@ -49,6 +49,8 @@
         m_actions.start();
         m_worker.start();
     }
+    /// See duty::requestStop().
+    auto requestStop() -> void { m_worker.requestStop(); }
     auto stop() -> void { m_worker.stop(); }
     /// Number of requests that are being read or whose answer is not written whole. Thread safe.
     auto busy() const -> std::size_t { return m_server.busy(); }
--- a/src/operators/adminduty.h
+++ b/src/operators/adminduty.h
@@ -20,6 +20,8 @@
     /// Opens the listener. Errors: those of the socket calls. Call before start().
     auto listen() -> result<endpoint>;
     auto start() -> void;
+    /// See duty::requestStop().
+    auto requestStop() -> void;
     auto stop() -> void;
 
 private:
--- a/src/operators/internal/adminduty.cpp
+++ b/src/operators/internal/adminduty.cpp
@@ -73,6 +73,11 @@
     m_impl->worker.start();
 }
 
+auto admin_duty::requestStop() -> void
+{
+    m_impl->worker.requestStop();
+}
+
 auto admin_duty::stop() -> void
 {
     m_impl->worker.stop();
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -379,6 +379,11 @@
     m_impl->worker.start();
 }
 
+auto reports_duty::requestStop() -> void
+{
+    m_impl->worker.requestStop();
+}
+
 auto reports_duty::stop() -> void
 {
     m_impl->worker.stop();
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -59,6 +59,8 @@
     /// Opens the socket. Errors: those of the socket calls. Call before start().
     auto listen() -> std::error_code;
     auto start() -> void;
+    /// See duty::requestStop().
+    auto requestStop() -> void;
     auto stop() -> void;
     /// Thread safe.
     auto metrics() const -> const metric_set<reports_metric> & { return m_metrics; }
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -141,6 +141,8 @@
         m_commands.start();
         m_worker.start();
     }
+    /// See duty::requestStop().
+    auto requestStop() -> void { m_worker.requestStop(); }
     auto stop() -> void { m_worker.stop(); }
     /// Thread safe.
     auto metrics() const -> const metric_set<upstream_metric> & { return m_metrics; }
