Reporter: no grants by a report from before a pause, and a limit on the identity pause

A reporter that wakes up after a pause reads requests for room before it has polled its server again, and granted by the old report. A server could postpone the request for its identity for ever. Change: no room is granted if the latest answered poll is over half a second old; the pause is 5 minutes at most. Two tests that advanced their clock without a poll now poll once more, as a real reporter does every 80 ms; their checks are unchanged. Measured: both new tests pass; they were not run on the code before.

--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -52,6 +52,11 @@
     /// Keeps the server to the limit that it states. Runs that must move may exceed it for a
     /// moment.
     rate_limiter_options rateLimit{.burst = 2.0, .maxDebt = 2.0};
+    /// Longest pause that a server may ask for before the next request for its identity.
+    std::int64_t maxIdentityPauseUs = 300 * US_PER_SECOND;
+    /// Age of the latest poll from which no room is granted: after a pause of the process, requests
+    /// for room may be read before the server has been polled again.
+    std::int64_t grantReportMaxAgeUs = 500 * US_PER_MS;
     /// Unanswered polls in a row after which the server counts as not answering.
     std::uint32_t unansweredPollLimit = 2;
     std::size_t listenerLimit = 1'024;
@@ -211,8 +216,8 @@
     auto onIdentity(std::optional<server_identity> identity, std::int64_t retryAfterMs = 0) -> void
     {
         m_identity = std::move(identity);
-        m_identityAt
-            = m_clock.now() + std::max(m_options.identityRetryUs, retryAfterMs * US_PER_MS);
+        const auto pauseUs = std::min(toUs(retryAfterMs), m_options.maxIdentityPauseUs);
+        m_identityAt = m_clock.now() + std::max(m_options.identityRetryUs, pauseUs);
         for (const auto &[key, listener] : m_listeners) {
             announceTo(listener.where);
         }
@@ -223,6 +228,7 @@
         const auto changed = !m_report.answering || m_report.bornUnixMs != seen.bornUnixMs;
         detectStart(seen);
         m_report.answering = true;
+        m_answeredAt = m_clock.now();
         m_report.leaving = seen.state == server_state::leaving;
         m_report.leavesKnown = seen.leavesMs.has_value();
         m_report.leavesMs = seen.leavesMs.value_or(0);
@@ -360,7 +366,7 @@
     }
     auto roomVerdict(const room_request_frame &asked) const -> room_verdict
     {
-        if (!m_report.answering) {
+        if (!m_report.answering || m_clock.now() - m_answeredAt > m_options.grantReportMaxAgeUs) {
             return room_verdict::not_answering;
         }
         if (m_report.leaving || m_report.leavesKnown) {
@@ -475,6 +481,8 @@
     std::optional<incoming_move> m_incomingMove;
     std::uint32_t m_unansweredPolls = 0;
     bool m_polled = false;
+    /// When the server last answered a poll.
+    time_us m_answeredAt{INT64_MIN / 2};
     time_us m_leavingSince;
     /// Unread prompts in the last report sent.
     std::uint32_t m_reportedQueue = 0;
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -107,6 +107,7 @@
     CHECK(f.ask("a", 5'000, 1'000) == room_verdict::granted);
     CHECK(f.ask("b", 5'000, 1'000) == room_verdict::memory_taken);
     f.advance(1'100);
+    f.core.onReport({.usedTokens = 19'000, .capacityTokens = 30'000});
     CHECK(f.ask("b", 5'000, 1'000) == room_verdict::granted);
 }
 
@@ -220,6 +221,7 @@
     CHECK(moveIn("b") == room_verdict::granted);
     CHECK(moveIn("c") == room_verdict::link_busy);
     f.advance(801);
+    f.core.onReport({.usedTokens = 24'000, .capacityTokens = 30'000});
     CHECK(moveIn("c") == room_verdict::memory_taken);
 }
 
@@ -287,3 +289,28 @@
     }
     CHECK(f.sink.reports.back().usPerEvent == POLL_MS * US_PER_MS / EVENTS_PER_POLL);
 }
+
+// A reporter that had been frozen granted the memory of a second ago to whoever had asked
+// meanwhile.
+TEST_CASE("a reporter that wakes up grants room by a report from before its pause")
+{
+    fixture f;
+    f.core.onReport({.capacityTokens = 30'000});
+    CHECK(f.ask("a", 1'000, 100) == room_verdict::granted);
+    f.advance(2'000);
+    CHECK(f.ask("b", 1'000, 100) == room_verdict::not_answering);
+    f.core.onReport({.capacityTokens = 30'000});
+    CHECK(f.ask("b", 1'000, 100) == room_verdict::granted);
+}
+
+TEST_CASE("a server without an identity can postpone the next request for it without limit")
+{
+    fixture f;
+    f.core.onReport({.bornUnixMs = f.time.unixStartMs});
+    f.core.onIdentity(std::nullopt, INT64_MAX);
+    constexpr std::int64_t MAX_PAUSE_MS = 300'000;
+    f.advance(MAX_PAUSE_MS - 1);
+    CHECK_FALSE(f.core.wantsIdentity());
+    f.advance(1);
+    CHECK(f.core.wantsIdentity());
+}
