Forwarding: the retry delay follows the latency target, and tests for late calls of a stop

Cause: every refused caller was told to return after 0.4 to 1.2 s, whatever its target: one that may wait for seconds came back into the same overload with its only retry. And an operator reported that calls which came late in a calm stop were passed on and cut without an answer. Change: the delay is drawn between a quarter and three fifths of the target, at least as before. For the stop tests only: late calls of each kind are refused as not run, and what is open at the end is answered as unknown.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -758,7 +758,7 @@
         if (ran == run_state::not_run) {
             retryAfterMs = reason == failure::draining
                                ? drawStoppingRetryAfterMs(request)
-                               : drawRetryAfterMs() + (retryAt ? msUntil(*retryAt) : 0);
+                               : drawRetryAfterMs(request) + (retryAt ? msUntil(*retryAt) : 0);
         }
         failWithReason(request, reason, ran, retryAfterMs);
         close(request);
@@ -867,6 +867,15 @@
     {
         return drawMs(m_options.minRetryAfterMs, m_options.maxRetryAfterMs);
     }
+    auto drawRetryAfterMs(const request_state &request) -> std::int64_t
+    {
+        const auto &route = *request.route;
+        const auto targetMs = static_cast<double>(std::min(route.latencyTargetMs, route.timeoutMs));
+        const auto shareOf
+            = [targetMs](double share) { return static_cast<std::int64_t>(share * targetMs); };
+        return drawMs(std::max(m_options.minRetryAfterMs, shareOf(m_options.minRetryShare)),
+                      std::max(m_options.maxRetryAfterMs, shareOf(m_options.maxRetryShare)));
+    }
     /// Other entries can serve the caller, but some of them may be stopping too and are back soon:
     /// as much later as its latency target allows.
     auto drawStoppingRetryAfterMs(const request_state &request) -> std::int64_t
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -39,9 +39,13 @@
     std::uint32_t maxSends = 3;
     /// Limit on concurrently open requests.
     std::size_t maxOpenRequests = 8'000;
-    /// Range of the random retry delay given to refused callers.
+    /// Range of the random retry delay given to refused callers, also as shares of their latency
+    /// target; the later one holds. A caller that may wait longer returns when more of the work
+    /// that was in its way has ended.
     std::int64_t minRetryAfterMs = 400;
     std::int64_t maxRetryAfterMs = 1'200;
+    double minRetryShare = 0.25;
+    double maxRetryShare = 0.6;
     /// Longest retry delay given to a caller that is refused because the process stops, as a share
     /// of its latency target.
     double stoppingRetryShare = 0.35;
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/tests/forwardingfixture.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace marjoram;
 using namespace marjoram::testing;
@@ -358,6 +359,49 @@
     CHECK(f.sends() == 0);
 }
 
+// A caller that may wait for seconds was told to return as soon as one that may not, into the same
+// overload.
+TEST_CASE("the retry delay does not follow the latency target of the refused request")
+{
+    struct expected_delay
+    {
+        std::int64_t targetMs = 0;
+        std::int64_t minMs = 0;
+        std::int64_t maxMs = 0;
+    };
+    const std::vector<expected_delay> cases{
+        {.targetMs = 100, .minMs = 400, .maxMs = 1'200},
+        {.targetMs = 1'500, .minMs = 400, .maxMs = 1'200},
+        {.targetMs = 4'000, .minMs = 1'000, .maxMs = 2'400},
+        {.targetMs = INT64_MAX, .minMs = 0, .maxMs = INT64_MAX}};
+    for (const auto &one : cases) {
+        CAPTURE(one.targetMs);
+        auto content = tableOf()->content();
+        for (auto &route : content.routes) {
+            route.latencyTargetMs = one.targetMs;
+            route.timeoutMs = 60'000;
+        }
+        forwarding_fixture f;
+        f.core.onRouteTable(std::make_shared<const route_table>(std::move(content)));
+        for (const auto *id : {"i-c", "i-d"}) {
+            f.core.onReport(id, {.usedTokens = 34'000, .capacityTokens = 34'000});
+        }
+        constexpr int REQUESTS = 50;
+        for (int i = 0; i < REQUESTS; ++i) {
+            f.openRequest("draft");
+        }
+        f.advance(4'000);
+        std::set<std::int64_t> delays;
+        for (const auto &failed : f.sink.callers<send_failure>()) {
+            REQUIRE(failed.retryAfterMs);
+            CHECK(*failed.retryAfterMs >= one.minMs);
+            CHECK(*failed.retryAfterMs <= one.maxMs);
+            delays.insert(*failed.retryAfterMs);
+        }
+        CHECK(delays.size() > REQUESTS / 2);
+    }
+}
+
 TEST_CASE("reporters that do not reply do not block a request")
 {
     forwarding_fixture f;
--- a/src/forwarding/tests/plannedstoptests.cpp
+++ b/src/forwarding/tests/plannedstoptests.cpp
@@ -122,6 +122,28 @@
     CHECK(refusedAsDraining(f) == 1);
 }
 
+// In a calm planned stop calls came late in the grace, were passed on, and were cut at its end
+// without an answer; some of them could not be repeated.
+TEST_CASE("calls that come late in a planned stop are passed on and cut at its end")
+{
+    for (const auto *kind : {"book", "look", "draft", "label"}) {
+        CAPTURE(kind);
+        forwarding_fixture f;
+        f.openRequest(kind);
+        f.core.drain(f.time.now + STOP_IN_US);
+        f.advance(2'900);
+        f.openRequest(kind);
+        CHECK(f.sends() == 1);
+        CHECK(refusedAsDraining(f) == 1);
+        // Nobody knows whether the call that is still open at the end has run.
+        f.core.abandonRequests();
+        REQUIRE(f.sink.callers<send_failure>().size() == 2);
+        CHECK(f.sink.callers<send_failure>().back().ran == run_state::unknown);
+        CHECK_FALSE(f.sink.callers<send_failure>().back().retryAfterMs);
+        CHECK(f.core.drained());
+    }
+}
+
 TEST_CASE("a run of slow engines stays on its leaving server until that shuts down")
 {
     constexpr std::int64_t LEAVES_MS = 4'000;
