--- a/review/rig/fleet.cpp
+++ b/review/rig/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <sstream>
 
 namespace rig {
@@ -45,15 +47,39 @@
     return *m_runners.back();
 }
 
+auto fleet::fill(const std::string &templateFile,
+                 const std::map<std::string, std::string> &fields) const -> std::string
+{
+    std::ifstream file(templateFile);
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    for (const auto &[name, value] : fields) {
+        const auto isList = value.starts_with("[");
+        const std::pair<std::string, std::string> forms[] = {
+            {"{{" + name + "|json}}", isList ? value : "\"" + value + "\""},
+            {"{{" + name + "}}", value}};
+        for (const auto &[placeholder, shown] : forms) {
+            for (auto at = text.find(placeholder); at != std::string::npos;
+                 at = text.find(placeholder)) {
+                text.replace(at, placeholder.size(), shown);
+            }
+        }
+    }
+    return text;
+}
+
 auto fleet::writeReporterSettings(const runner &one, const std::string &service) -> std::string
 {
     const auto &of = one.options();
     const auto file = m_folder + "/side-" + of.ip + ".json";
-    std::ostringstream out;
-    out << R"({"host":"side-)" << of.ip << R"(","data_centre":"z1","pool":")" << service
-        << R"(","server":")" << of.ip << ":" << of.port << R"(","listen":")" << of.ip << ":"
-        << m_nodePort << R"(","entries":[")" << FRONT_IP << ":" << m_nodePort << "\"]}\n";
-    writeFile(file, out.str());
+    const auto port = std::to_string(m_nodePort);
+    writeFile(file, fill("deploy/reporter.json",
+                         {{"node-name", "side-" + of.ip},
+                          {"zone", "z1"},
+                          {"backend", service},
+                          {"app", of.ip + ":" + std::to_string(of.port)},
+                          {"ip", of.ip},
+                          {"port-range.0", port},
+                          {"seeds", "[\"" + std::string(FRONT_IP) + ":" + port + "\"]"}}));
     return file;
 }
 
@@ -65,17 +91,22 @@
 auto fleet::startFront() -> void
 {
     const auto file = m_folder + "/front.json";
-    std::ostringstream out;
-    out << R"({"host":"front-1","data_centre":"z1","callers_listen":")" << FRONT_IP << ":"
-        << m_callersPort << R"(","admin_listen":")" << FRONT_IP << ":" << m_adminPort
-        << R"(","reports_listen":")" << FRONT_IP << ":" << m_nodePort << R"(","reporter_port":)"
-        << m_nodePort << R"(,"directory_service":")" << STORE_IP << ":" << m_storePort
-        << R"(","retry_ratio":0.2,"retry_window_s":10,"retry_slack":52,"entries_assumed":32,)"
-        << R"("stop_grace_ms":)" << m_options.graceS << R"(000,"balancer_delay_ms":2500,)"
-        << R"("leaving_bound_ms":)" << m_options.drainMs << R"(,"configuration_bound_ms":)"
-        << m_options.configApplyMs << R"(,"contact_bound_ms":)" << m_options.contactMs << "}\n";
-    writeFile(file, out.str());
-    m_record.line("settings of the front: " + out.str().substr(0, out.str().size() - 1));
+    const auto at = [](const std::string &ip, int port) { return ip + ":" + std::to_string(port); };
+    writeFile(file, fill("deploy/entry.json",
+                         {{"node-name", "front-1"},
+                          {"zone", "z1"},
+                          {"ip", FRONT_IP},
+                          {"port-range.0", std::to_string(m_nodePort)},
+                          {"listen.front", at(FRONT_IP, m_callersPort)},
+                          {"listen.ready", at(FRONT_IP, m_adminPort)},
+                          {"provider.address", at(STORE_IP, m_storePort)},
+                          {"bounds.budget-ratio", "0.2"},
+                          {"bounds.budget-window-s", "10"},
+                          {"bounds.budget-slack", "52"},
+                          {"bounds.grace-s", m_options.graceS},
+                          {"bounds.drain-ms", "2000"},
+                          {"bounds.config-apply-ms", "2000"},
+                          {"bounds.contact-ms", "3000"}}));
     m_front.start(m_frontCommand, file, m_folder + "/front.out");
 }
 
--- a/review/rig/fleet.h
+++ b/review/rig/fleet.h
@@ -1,5 +1,5 @@
 // A small deployment: one front, the platform's store, runners, and a reporter beside each model
-// runner. The settings files are filled in as the templates of the deploy file say.
+// runner. The settings files are made from the templates that the deploy file names.
 #pragma once
 
 #include "rig.h"
@@ -10,9 +10,6 @@
 struct fleet_options
 {
     std::string graceS = "8";
-    long configApplyMs = 2'000;
-    long drainMs = 2'000;
-    long contactMs = 3'000;
 };
 
 class fleet
@@ -36,6 +33,7 @@
     /// Starts store, runners, reporters and the front. Returns false if the front isn't ready in
     /// time, or doesn't know all runners.
     auto start() -> bool;
+    /// Writes the settings of the front and starts it.
     auto startFront() -> void;
     auto newClient() const -> client { return client(FRONT_IP, m_callersPort); }
     auto frontMetric(const std::string &name) const -> double;
@@ -46,6 +44,10 @@
     static constexpr const char *STORE_IP = "127.0.0.3";
 
 private:
+    /// A template of the repository with its placeholders filled in.
+    auto fill(const std::string &templateFile,
+              const std::map<std::string, std::string> &fields) const -> std::string;
+
     std::string m_frontCommand;
     std::string m_reporterCommand;
     std::string m_folder;
--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -664,12 +664,6 @@
                   const std::vector<std::pair<std::string, std::string>> &headers,
                   const std::string &body) -> answer
 {
-    answer out;
-    out.sentAtMs = nowMs();
-    if (!m_connection && !connect()) {
-        out.endedAtMs = nowMs();
-        return out;
-    }
     auto text = method + " " + path + " HTTP/1.1\r\nHost: app.example\r\n";
     for (const auto &[name, value] : headers) {
         text += name + ": " + value + "\r\n";
@@ -677,7 +671,18 @@
     if (method != "GET") {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    out.written = m_connection->write(text + "\r\n" + body);
+    return sendBytes(text + "\r\n" + body);
+}
+
+auto client::sendBytes(const std::string &bytes) -> answer
+{
+    answer out;
+    out.sentAtMs = nowMs();
+    if (!m_connection && !connect()) {
+        out.endedAtMs = nowMs();
+        return out;
+    }
+    out.written = m_connection->write(bytes);
     message got;
     if (out.written && m_connection->readHead(got)) {
         out.status = std::atoi(got.start.substr(got.start.find(' ') + 1).c_str());
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -252,6 +252,8 @@
     auto send(const std::string &method, const std::string &path,
               const std::vector<std::pair<std::string, std::string>> &headers,
               const std::string &body) -> answer;
+    /// Sends bytes as they are, and reads one answer.
+    auto sendBytes(const std::string &bytes) -> answer;
 
 private:
     std::string m_ip;
