--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../rig/run.sh" 6
--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -660,31 +660,60 @@
     return true;
 }
 
-auto client::send(const std::string &method, const std::string &path,
-                  const std::vector<std::pair<std::string, std::string>> &headers,
-                  const std::string &body) -> answer
+namespace {
+
+auto textOf(const std::string &method, const std::string &path,
+            const std::vector<std::pair<std::string, std::string>> &headers,
+            const std::string &body) -> std::string
 {
-    auto text = method + " " + path + " HTTP/1.1\r\nHost: app.example\r\n";
+    auto out = method + " " + path + " HTTP/1.1\r\nHost: app.example\r\n";
     for (const auto &[name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        out += name + ": " + value + "\r\n";
     }
     if (method != "GET") {
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    return sendBytes(text + "\r\n" + body);
+    return out + "\r\n" + body;
+}
+
+} // namespace
+
+auto client::send(const std::string &method, const std::string &path,
+                  const std::vector<std::pair<std::string, std::string>> &headers,
+                  const std::string &body) -> answer
+{
+    return sendBytes(textOf(method, path, headers, body));
+}
+
+auto client::begin(const std::string &method, const std::string &path,
+                   const std::vector<std::pair<std::string, std::string>> &headers,
+                   const std::string &body) -> bool
+{
+    return (m_connection || connect()) && m_connection->write(textOf(method, path, headers, body));
 }
 
 auto client::sendBytes(const std::string &bytes) -> answer
+{
+    const auto sentAtMs = nowMs();
+    const auto written = (m_connection || connect()) && m_connection->write(bytes);
+    auto out = written ? finish() : answer{};
+    out.written = written;
+    out.sentAtMs = sentAtMs;
+    out.endedAtMs = nowMs();
+    if (!written) {
+        m_connection.reset();
+    }
+    return out;
+}
+
+auto client::finish() -> answer
 {
     answer out;
-    out.sentAtMs = nowMs();
-    if (!m_connection && !connect()) {
-        out.endedAtMs = nowMs();
+    message got;
+    if (!m_connection) {
         return out;
     }
-    out.written = m_connection->write(bytes);
-    message got;
-    if (out.written && m_connection->readHead(got)) {
+    if (m_connection->readHead(got)) {
         out.status = std::atoi(got.start.substr(got.start.find(' ') + 1).c_str());
         out.seal = got.header("X-Server-Seal");
         if (isChunked(got)) {
@@ -696,7 +725,6 @@
                 out.body += *chunk;
             }
         } else {
-            // The head has been read; the rest has a length.
             const auto size = std::strtoul(got.header("Content-Length").c_str(), nullptr, 10);
             out.complete = m_connection->readBytes(size, out.body);
         }
@@ -704,7 +732,6 @@
             ++out.events;
         }
     }
-    out.endedAtMs = nowMs();
     const auto closes = ::strcasecmp(got.header("Connection").c_str(), "close") == 0;
     if (!out.complete || closes) {
         m_connection.reset();
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -254,6 +254,12 @@
               const std::string &body) -> answer;
     /// Sends bytes as they are, and reads one answer.
     auto sendBytes(const std::string &bytes) -> answer;
+    /// Sends a request without waiting for its answer; false if it could not be written.
+    auto begin(const std::string &method, const std::string &path,
+               const std::vector<std::pair<std::string, std::string>> &headers,
+               const std::string &body) -> bool;
+    /// Reads the answer to the oldest request that has none.
+    auto finish() -> answer;
 
 private:
     std::string m_ip;
