--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -756,6 +757,8 @@
     arguments.push_back(nullptr);
     m_pid = ::fork();
     if (m_pid == 0) {
+        // It must not outlive the case, also when that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const auto file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -272,7 +272,8 @@
 {
 public:
     ~child() { kill(); }
-    /// Starts `command`, split at spaces, with the settings file in its environment.
+    /// Starts `command`, split at spaces, with the settings file in its environment. Call it on a
+    /// thread that lives as long as the process.
     auto start(const std::string &command, const std::string &settings, const std::string &output)
         -> void;
     auto signal(int number) -> void;
@@ -297,7 +298,7 @@
 auto getStatus(const std::string &ip, int port, const std::string &path) -> int;
 /// Value of a metric of the front; -1 if there is none.
 auto metric(const std::string &ip, int port, const std::string &name) -> double;
-/// Value of an environment variable TROUBLE=0: the run without the disruption.
+/// False if the environment variable TROUBLE is 0: the run without the disruption.
 auto withTrouble() -> bool;
 
 } // namespace rig
