--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -36,6 +36,7 @@
                 const auto next = nowMs() + 1'000;
                 const auto id = "d-" + std::to_string(number) + "-" + std::to_string(round);
                 ++sent;
+                record.line("client sends " + id + " /draft/x");
                 const auto got
                     = one.send("POST", "/draft/x", generationHeaders(id, 20'000, 500, 32), "prompt");
                 served += got.status == 200 && got.complete ? 1 : 0;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -90,6 +90,7 @@
         threads.emplace_back([&, number] {
             sleepUntil(stoppedAt + 3'200 + 60 * number);
             const auto id = "s-" + std::to_string(number);
+            record.line("client sends " + id + " on its kept connection");
             const auto got = clients[static_cast<std::size_t>(number)].send(
                 "POST", "/label/x", generationHeaders(id, 6'000, 350, OUTPUT_TOKENS), "prompt");
             whole += got.status == 200 && got.complete ? 1 : 0;
