Routing: requests of one service were run by another at a reused address (ROUTE)

What callers saw: after an engine had crashed and its address had gone to a server of another service, entries sent that server requests of the first service for about a second, and it ran them.

Cause: the reporter beside the address announced the new server with the pool of its own settings, read at its start, and entries believed that until the published list came. Neither the reporter nor the server knows to whom the address belongs; only the published list does.

Change: an announcement names no pool, and the settings of the reporter hold none any more. An announced server gets no requests until the list contains it; its reports are collected, so its load is known from then on, and the list is read after a shorter pause until it shows the server. While the store is away a server that has just started is not used: nobody can tell whose it is.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -49,6 +49,7 @@
         : m_source(m_worker.context(), source, *this)
         , m_events(m_worker.context(), rings.fromDirectory, BACKLOG_LIMIT)
         , m_toReports(m_worker.context(), rings.directoryToReports, BACKLOG_LIMIT)
+        , m_announcements(m_worker.context(), rings.reportsToDirectory, *this)
         , m_timer(m_worker.context())
         , m_log(log)
         , m_state(state)
@@ -63,6 +64,7 @@
 
     auto start() -> void
     {
+        m_announcements.start();
         boost::asio::post(m_worker.context(), [this] {
             m_configuration.start();
             m_servers.start();
@@ -75,6 +77,26 @@
     /// Thread safe.
     auto metrics() const -> const metric_set<directory_metric> & { return m_metrics; }
 
+    // --- called by the ring reader on the duty's thread
+
+    /// Reads the list sooner if it lacks a server that has just started.
+    auto handle(server_announced &&announced) -> void
+    {
+        const auto &started = announced.entry;
+        const auto listed = std::any_of(
+            m_servers.items().begin(), m_servers.items().end(), [&](const auto &named) {
+                const auto &entry = named.second.value;
+                return entry && entry->id == started.id && entry->bornUnixMs == started.bornUnixMs;
+            });
+        if (listed) {
+            return;
+        }
+        const auto until = m_clock.now() + LISTING_TIME_US;
+        m_awaited.insert_or_assign(started.id, until);
+        m_servers.expectChange(until);
+        scheduleTimer();
+    }
+
     // --- called by the source on the duty's thread
 
     auto onPage(published_page<configuration_text> page) -> void
@@ -116,6 +138,8 @@
 
 private:
     static constexpr std::size_t BACKLOG_LIMIT = 1 << 14;
+    /// Time within which a server that has started writes its entry.
+    static constexpr std::int64_t LISTING_TIME_US = 2'500 * US_PER_MS;
 
     /// Actions common to both feeds.
     struct feed_sink
@@ -154,7 +178,12 @@
         explicit servers_sink(directory_duty &owner)
             : feed_sink{owner, feed_kind::servers}
         { }
-        auto onPublished(const published<server_entry> &) -> void { }
+        auto onPublished(const published<server_entry> &item) -> void
+        {
+            if (item.value) {
+                this->duty.onListed(item.value->id);
+            }
+        }
         auto onSynced() -> void { this->duty.publishServers(); }
     };
 
@@ -186,6 +215,16 @@
         publish(table_changed{m_table});
         updateReady();
     }
+    /// The list has been read sooner for the sake of servers that it lacked.
+    auto onListed(const std::string &id) -> void
+    {
+        const auto now = m_clock.now();
+        m_awaited.erase(id);
+        std::erase_if(m_awaited, [now](const auto &named) { return named.second <= now; });
+        if (m_awaited.empty()) {
+            m_servers.endExpectation();
+        }
+    }
     auto publishServers() -> void
     {
         std::vector<server_entry> entries;
@@ -265,6 +304,7 @@
     source_type m_source;
     ring_writer<directory_event> m_events;
     ring_writer<servers_changed> m_toReports;
+    ring_reader<server_announced, directory_duty> m_announcements;
     boost::asio::steady_timer m_timer;
     log_writer m_log;
     process_state &m_state;
@@ -273,6 +313,8 @@
     servers_sink m_serversSink;
     list_watch<configuration_text, system_clock_source, configuration_sink> m_configuration;
     list_watch<server_entry, system_clock_source, servers_sink> m_servers;
+    /// Servers that have started and that the list lacks, and until when it may show them.
+    std::map<std::string, time_us> m_awaited;
     route_table_ptr m_table;
     std::vector<server_entry> m_lastServers;
     bool m_serversListed = false;
--- a/src/directory/directoryoptions.h
+++ b/src/directory/directoryoptions.h
@@ -31,6 +31,7 @@
     // Servers write heartbeats constantly; the pause lets many of them arrive in one answer. The
     // rest of the bound is for an answer on its way and for a compaction of the history.
     constexpr double PAUSE_SHARE = 0.65;
+    constexpr double EXPECTANT_PAUSE_SHARE = 0.15;
     constexpr double LONG_POLL_SHARE = 0.75;
     constexpr double BACKOFF_SHARE = 0.4;
     constexpr std::int64_t MIN_BACKOFF_US = 400 * US_PER_MS;
@@ -45,11 +46,13 @@
     const auto longestWatchMs = std::max(DEAD_WATCH_MS, bounds.contactMs - DEAD_WATCH_MS);
     return {.configuration = {.longPollMs = std::min(bounds.configurationMs, longestWatchMs),
                               .maxBackoffUs = backoffUs(bounds.configurationMs)},
-            .servers = {.watchPauseUs = shareOf(bounds.leavingMs, PAUSE_SHARE) * US_PER_MS,
-                        .longPollMs = shareOf(bounds.leavingMs, LONG_POLL_SHARE),
-                        .maxBackoffUs = backoffUs(bounds.leavingMs),
-                        .removalGraceUs = 2 * US_PER_SECOND,
-                        .restoreHoldUs = 6 * US_PER_SECOND}};
+            .servers
+            = {.watchPauseUs = shareOf(bounds.leavingMs, PAUSE_SHARE) * US_PER_MS,
+               .expectantPauseUs = shareOf(bounds.leavingMs, EXPECTANT_PAUSE_SHARE) * US_PER_MS,
+               .longPollMs = shareOf(bounds.leavingMs, LONG_POLL_SHARE),
+               .maxBackoffUs = backoffUs(bounds.leavingMs),
+               .removalGraceUs = 2 * US_PER_SECOND,
+               .restoreHoldUs = 6 * US_PER_SECOND}};
 }
 
 } // namespace marjoram
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -81,6 +81,8 @@
 {
     /// Pause between a watch's answer and the next watch, so that one answer brings more changes.
     std::int64_t watchPauseUs = 0;
+    /// The same pause while a change is expected.
+    std::int64_t expectantPauseUs = 0;
     /// Longest time for which the service holds a watch without changes.
     std::int64_t longPollMs = 1'500;
     /// Range from which the pause after a failure is drawn at random. It doubles with each further
@@ -210,6 +212,18 @@
         scheduleRetry();
     }
 
+    /// A change is expected before `until`: the pause between watches is shorter until then, or
+    /// until endExpectation().
+    auto expectChange(time_us until) -> void
+    {
+        m_expectingUntil = std::max(m_expectingUntil, until);
+        // After a failure the service is not called sooner.
+        if (m_nextCallAt && m_failures == 0) {
+            m_nextCallAt = std::min(*m_nextCallAt, m_syncedAt + m_options.expectantPauseUs);
+        }
+    }
+    auto endExpectation() -> void { m_expectingUntil = {}; }
+
     // --- timer
 
     auto nextTimer() const -> std::optional<time_us>
@@ -312,7 +326,10 @@
         m_listing = false;
         m_listedKeys.clear();
         m_sink.onSynced();
-        m_nextCallAt = m_clock.now() + m_options.watchPauseUs;
+        m_syncedAt = m_clock.now();
+        m_nextCallAt = m_syncedAt
+                       + (m_syncedAt < m_expectingUntil ? m_options.expectantPauseUs
+                                                        : m_options.watchPauseUs);
     }
     auto markAvailable() -> void
     {
@@ -421,6 +438,8 @@
     /// Failures in a row.
     std::uint32_t m_failures = 0;
     std::optional<time_us> m_nextCallAt;
+    time_us m_syncedAt;
+    time_us m_expectingUntil;
     std::optional<time_us> m_removalGraceUntil;
     std::optional<time_us> m_outdatedSince;
     time_us m_heldBackUntil;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -432,3 +432,44 @@
         CHECK(options.servers.maxBackoffUs <= std::max<std::int64_t>(400, boundMs) * US_PER_MS);
     }
 }
+
+// Servers that had just started were used only after the pause between two watches.
+TEST_CASE("an expected change is read only after the whole pause between watches")
+{
+    constexpr std::int64_t PAUSE_MS = 1'300;
+    constexpr std::int64_t EXPECTANT_PAUSE_MS = 300;
+    virtual_clock_source::state time;
+    recorder sink;
+    list_watch<int, virtual_clock_source, recorder> feed{
+        {.watchPauseUs = PAUSE_MS * US_PER_MS, .expectantPauseUs = EXPECTANT_PAUSE_MS * US_PER_MS},
+        virtual_clock_source(&time),
+        1,
+        sink};
+    const auto advance = [&](std::int64_t ms) {
+        time.now = time.now + ms * US_PER_MS;
+        feed.onTimer();
+    };
+    feed.start();
+    feed.onPage({.revision = 5});
+    advance(100);
+    feed.expectChange(time.now + 2 * US_PER_SECOND);
+    advance(199);
+    CHECK(sink.watches.empty());
+    advance(1);
+    CHECK(sink.watches.size() == 1);
+    // An answer that lacks the change does not end the expectation.
+    feed.onChanges({}, 6);
+    advance(EXPECTANT_PAUSE_MS);
+    CHECK(sink.watches.size() == 2);
+    feed.endExpectation();
+    feed.onChanges({}, 7);
+    advance(PAUSE_MS - 1);
+    CHECK(sink.watches.size() == 2);
+    advance(1);
+    CHECK(sink.watches.size() == 3);
+    // A service that fails is not called sooner.
+    feed.onFailed();
+    const auto retryAt = feed.nextTimer();
+    feed.expectChange(time.now + 2 * US_PER_SECOND);
+    CHECK(feed.nextTimer() == retryAt);
+}
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -32,7 +32,7 @@
     server_report report;
 };
 /// A reporter announces a newly started backend server, which the published list may not contain
-/// yet.
+/// yet. The entry holds id, address and start; only the list tells the rest.
 struct server_announced
 {
     server_entry entry;
@@ -64,6 +64,7 @@
     ring<server_command> toServers{CAPACITY};
     ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
     ring<servers_changed> directoryToReports{DIRECTORY_CAPACITY};
+    ring<server_announced> reportsToDirectory{DIRECTORY_CAPACITY};
     ring<report_event> fromReports{CAPACITY};
     ring<reporter_command> toReports{CAPACITY};
 };
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -95,18 +95,16 @@
 };
 
 /// Reporter to entry, then from entry to entry by way of other reporters: a backend server has
-/// started, which the published list may not show yet.
+/// started, which the published list may not show yet. Only the list tells the server's pool: an
+/// address may have been given to a server of another one.
 struct server_news_frame
 {
     /// Path of an announcement: reporter, entry, another reporter, all its entries.
     static constexpr std::uint32_t MAX_RELAYS = 2;
 
     std::string id;
-    std::string pool;
-    std::string dataCentre;
     /// IP:PORT of the backend server.
     std::string server;
-    std::uint32_t slots = 0;
     std::int64_t bornUnixMs = 0;
     /// Times it has been passed on.
     std::uint32_t relays = 0;
@@ -115,10 +113,7 @@
     static auto visitFields(Self &self, Visitor &&visit) -> void
     {
         visit(self.id);
-        visit(self.pool);
-        visit(self.dataCentre);
         visit(self.server);
-        visit(self.slots);
         visit(self.bornUnixMs);
         visit(self.relays);
     }
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -89,6 +89,7 @@
         , servers(worker.context(), rings.directoryToReports, outer)
         , commands(worker.context(), rings.toReports, outer)
         , reports(worker.context(), rings.fromReports, BACKLOG_LIMIT)
+        , toDirectory(worker.context(), rings.reportsToDirectory, BACKLOG_LIMIT)
         , socket(worker.context(), *this)
         , timer(worker.context())
     { }
@@ -165,12 +166,11 @@
             requestReport(state);
             reporters.emplace(announcement.server, std::move(state));
         }
-        reports.push(server_announced{.entry = {.id = std::move(announcement.id),
-                                                .pool = std::move(announcement.pool),
-                                                .address = *where,
-                                                .dataCentre = std::move(announcement.dataCentre),
-                                                .slots = announcement.slots,
-                                                .bornUnixMs = announcement.bornUnixMs}});
+        const server_announced started{.entry = {.id = std::move(announcement.id),
+                                                 .address = *where,
+                                                 .bornUnixMs = announcement.bornUnixMs}};
+        reports.push(started);
+        toDirectory.push(started);
     }
     static auto isNew(announcement_set &known, const server_news_frame &announcement) -> bool
     {
@@ -347,6 +347,7 @@
     ring_reader<servers_changed, reports_duty> servers;
     ring_reader<reporter_command, reports_duty> commands;
     ring_writer<report_event> reports;
+    ring_writer<server_announced> toDirectory;
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
     reporter_map reporters;
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -19,9 +19,6 @@
 /// Options of report_core.
 struct report_options
 {
-    /// Pool and data centre of the backend server.
-    std::string pool;
-    std::string dataCentre;
     /// Entries to which a started server is announced; some may no longer exist.
     std::vector<endpoint> entries;
     /// Interval between the announcements of a started server, and how long they are repeated.
@@ -314,12 +311,7 @@
     /// Precondition: mayAnnounce().
     auto announcement() const -> server_news_frame
     {
-        return {.id = m_identity->id,
-                .pool = m_options.pool,
-                .dataCentre = m_options.dataCentre,
-                .server = m_report.server,
-                .slots = m_identity->slots,
-                .bornUnixMs = m_report.bornUnixMs};
+        return {.id = m_identity->id, .server = m_report.server, .bornUnixMs = m_report.bornUnixMs};
     }
     /// Listeners all get the announcement from here, so they need not relay it.
     auto announceTo(const endpoint &listener) -> void
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -32,6 +32,7 @@
         auto view = known ? std::move(node.mapped())
                           : addView(entry, node.empty() ? nullptr : &node.mapped(), now);
         const auto wasLeaving = view.leaving();
+        const auto joined = !known || view.announced;
         const auto bornUnixMs = entry.bornUnixMs ? entry.bornUnixMs : view.entry.bornUnixMs;
         view.entry = entry;
         view.entry.bornUnixMs = bornUnixMs;
@@ -41,7 +42,7 @@
         // A process that leaves does not return: an entry that lacks this is older.
         const auto staysLeaving = known && view.publishedLeaving && bornUnixMs != 0;
         view.publishedLeaving = entry.state == server_state::leaving || staysLeaving;
-        if (!known) {
+        if (joined) {
             out.joined.push_back(entry.id);
         }
         if (view.leaving() && !wasLeaving) {
@@ -304,7 +305,7 @@
     std::vector<const server_view *> healthy;
     std::vector<const server_view *> trusted;
     for (const auto &[id, view] : m_views) {
-        if (view.entry.pool != pool || !isUsable(view, now)) {
+        if (view.entry.pool != pool || !isUsable(view)) {
             continue;
         }
         all.push_back(&view);
@@ -370,10 +371,9 @@
     return now - *view.listingMissedSince < m_options.listingTimeoutUs;
 }
 
-auto server_directory::isUsable(const server_view &view, time_us now) const -> bool
+auto server_directory::isUsable(const server_view &view) -> bool
 {
-    const auto silent = !view.report || now - view.reportAt > m_options.announcedReportMaxAgeUs;
-    return !view.leaving() && !view.replaced && !(view.announced && silent);
+    return !view.leaving() && !view.replaced && !view.announced;
 }
 
 /// Returns the view of a process that has just been listed. It keeps what the process has stated
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -30,8 +30,6 @@
     /// How long an announced server may be missing from the published list. Servers write their
     /// entry about once a second.
     std::int64_t listingTimeoutUs = 2'500 * US_PER_MS;
-    /// An announced server whose last report is older gets no new work.
-    std::int64_t announcedReportMaxAgeUs = 1 * US_PER_SECOND;
     /// How long a removed server cannot be announced again.
     std::int64_t goneRetentionUs = 60 * US_PER_SECOND;
     /// A server whose last report is older has no reporter that grants requests within its limit.
@@ -72,8 +70,9 @@
 
     /// Applies a complete published list.
     auto onServerList(const std::vector<server_entry> &entries, time_us now) -> server_changes;
-    /// Adds a server that its reporter has announced. Returns false if the server is known or was
-    /// removed recently.
+    /// Adds a server that its reporter has announced. It gets requests once the published list
+    /// names its pool: nobody else knows to whom an address belongs. Returns false if the server is
+    /// known or was removed recently.
     auto onAnnounced(const server_entry &entry, time_us now) -> bool;
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
@@ -139,7 +138,7 @@
     auto hasGranter(const server_view &view, time_us now) const -> bool;
     auto shareOf(const server_view &view) const -> double;
     auto isListingPending(server_view &view, time_us now) const -> bool;
-    auto isUsable(const server_view &view, time_us now) const -> bool;
+    static auto isUsable(const server_view &view) -> bool;
     auto addView(const server_entry &entry, const server_view *predecessor, time_us now) const
         -> server_view;
     auto recordGone(const server_view &view, time_us now) -> void;
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -24,7 +24,7 @@
     std::optional<std::int64_t> statedLeavingBornUnixMs;
     /// A later process has been seen at its address, so this one has ended; the list lags behind.
     bool replaced = false;
-    /// Known only from its reporter; not in the published list yet.
+    /// Known only from its reporter, which cannot know its pool; not in the published list yet.
     bool announced = false;
     /// When a published list first lacked this announced server.
     std::optional<time_us> listingMissedSince;
