Upstream: streams without end filled the queues between two duties

What operators of similar systems saw: a faulty server sent bytes without end, and the process that had called it ran out of memory, with the requests of other callers.

Cause: rings and their backlogs bound the number of items, not their size, and streams were read without regard to the duties behind. Events that had begun, and what slow callers leave unread, had a limit each, but none together.

Change: byte_budget counts the events on their way to callers; at its limit channels stop reading until half is free. Events that have begun count towards the limit on all answers together. Unread bytes of all callers have a limit. The receive buffer of a connection to a server is fixed.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -492,7 +492,8 @@
         if (!bytes.empty()) {
             recordEventTimes(*request);
             toCaller(*request, send_response_events{.callerId = request->callerId,
-                                                    .bytes = std::move(bytes)});
+                                                    .bytes = std::move(bytes),
+                                                    .held = std::move(advanced.held)});
         }
     }
     auto recordEventTimes(request_state &request) -> void
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwardtypes.h"
+#include "framework/ring/bytebudget.h"
 #include "framework/ring/ring.h"
 #include "innerprotocol/reportframes.h"
 #include "serverviews/serverentry.h"
@@ -57,7 +58,10 @@
 {
     static constexpr std::size_t CAPACITY = 4'096;
     static constexpr std::size_t DIRECTORY_CAPACITY = 1'024;
+    static constexpr std::size_t STREAM_LIMIT_BYTES = 4 * 1024 * 1024;
 
+    /// Events of streams on their way from servers to callers.
+    byte_budget streamBytes{STREAM_LIMIT_BYTES};
     ring<forward_event> fromCallers{CAPACITY};
     ring<forward_action> toCallers{CAPACITY};
     ring<server_event> fromServers{CAPACITY};
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -3,6 +3,7 @@
 #include "framework/global/failure.h"
 #include "framework/http/eventsplitter.h"
 #include "framework/http/httptypes.h"
+#include "framework/ring/bytebudget.h"
 #include "innerprotocol/reportframes.h"
 #include "manifest/routetable.h"
 #include "quarantine/runobservation.h"
@@ -102,6 +103,8 @@
 {
     std::uint64_t callerId = 0;
     std::string bytes;
+    /// See stream_advanced.
+    byte_lease held;
 };
 /// The streamed response is complete.
 struct end_response_stream
@@ -258,6 +261,8 @@
 {
     std::uint64_t exchangeId = 0;
     std::vector<stream_event> events;
+    /// Their memory, until the caller's connection has them.
+    byte_lease held;
 };
 /// The stream ended normally.
 struct stream_completed
--- a/src/framework/http/eventsplitter.h
+++ b/src/framework/http/eventsplitter.h
@@ -26,6 +26,8 @@
     /// Appends the events that `bytes` complete to `out`; false when the limit is exceeded, after
     /// which the splitter must not be used.
     auto feed(std::string_view bytes, std::vector<stream_event> &out) -> bool;
+    /// Bytes of the event that has begun.
+    auto heldBytes() const -> std::size_t { return m_event.size(); }
     /// Whether an event has begun and not ended.
     auto midEvent() const -> bool { return !m_event.empty(); }
 
--- a/src/framework/http/httpchannel.h
+++ b/src/framework/http/httpchannel.h
@@ -113,6 +113,15 @@
         }
         write();
     }
+    /// Stops reading the response until resume(), so that the peer has to wait. Call from onBody().
+    auto pause() -> void { m_paused = true; }
+    /// Ignored unless the channel is paused.
+    auto resume() -> void
+    {
+        if (std::exchange(m_paused, false) && m_owner) {
+            read();
+        }
+    }
     /// Begins to watch an unused connection for its closure.
     auto idle() -> void
     {
@@ -135,6 +144,7 @@
 private:
     static constexpr unsigned HTTP_VERSION = 11;
     static constexpr std::size_t BUFFER_BYTES = 4 * 1024;
+    static constexpr int RECEIVE_BUFFER_BYTES = 256 * 1024;
     static constexpr std::size_t HEAD_LIMIT_BYTES = 32 * 1024;
     /// Limits on responses that are skipped within an exchange.
     static constexpr std::size_t SKIPPED_LIMIT_BYTES = 1024 * 1024;
@@ -159,11 +169,15 @@
     {
         boost::system::error_code error;
         const auto address = boost::asio::ip::make_address(m_peer.address, error);
+        const boost::asio::ip::tcp::endpoint peer(address, m_peer.port);
+        // Before the connection, which fixes the largest window. Without this the kernel may hold
+        // tens of megabytes of a response that is read slowly.
+        m_stream.socket().open(peer.protocol(), error);
+        m_stream.socket().set_option(
+            boost::asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES), error);
         m_stream.expires_after(m_options.connectTimeout);
-        m_stream.async_connect(boost::asio::ip::tcp::endpoint(address, m_peer.port),
-                               [self = this->shared_from_this()](boost::system::error_code e) {
-                                   self->onConnected(e);
-                               });
+        m_stream.async_connect(peer, [self = this->shared_from_this()](
+                                         boost::system::error_code e) { self->onConnected(e); });
     }
     auto onConnected(boost::system::error_code error) -> void
     {
@@ -269,7 +283,9 @@
         } else if (error) {
             finish(error);
         } else if (!m_parser->is_done()) {
-            read();
+            if (!m_paused) {
+                read();
+            }
         } else if (m_skipping) {
             startReading();
         } else {
@@ -311,6 +327,7 @@
             = whole && m_written && m_buffer.size() == 0 && m_parser->get().keep_alive();
         const auto cause = error && m_writeError ? std::error_code(m_writeError) : error;
         m_busy = false;
+        m_paused = false;
         if (!reusable) {
             boost::system::error_code ignored;
             m_stream.socket().close(ignored);
@@ -350,6 +367,7 @@
     bool m_written = false;
     bool m_headTaken = false;
     bool m_skipping = false;
+    bool m_paused = false;
     bool m_bodyless = false;
 };
 
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -554,6 +554,16 @@
     auto app() -> App & { return m_app; }
     auto limits() const -> const http_limits & { return m_limits; }
     auto connections() const -> std::size_t { return m_sessions.size(); }
+    /// Bytes of streams that clients have not taken yet.
+    auto backlogBytes() const -> std::size_t
+    {
+        std::size_t out = 0;
+        for (const auto &[id, weak] : m_sessions) {
+            const auto session = weak.lock();
+            out += session ? session->backlogBytes() : 0;
+        }
+        return out;
+    }
     /// Open session of an id, or null.
     auto find(std::uint64_t id) -> session_ptr
     {
--- a/src/framework/ring/tests/ringtests.cpp
+++ b/src/framework/ring/tests/ringtests.cpp
@@ -1,10 +1,13 @@
+#include "framework/ring/bytebudget.h"
 #include "framework/ring/duty.h"
 #include "framework/ring/ringends.h"
 
 #include <doctest/doctest.h>
+#include <functional>
 #include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 
 using namespace marjoram;
 
@@ -117,3 +120,67 @@
     CHECK(consumer.received == ITEMS);
     CHECK(consumer.handled == ITEMS * 2 / 3);
 }
+
+// A ring bounds the number of its items; a few large ones took more memory than the process has.
+TEST_CASE("bytes that were passed on are held without a limit")
+{
+    constexpr std::size_t LIMIT_BYTES = 100;
+    byte_budget budget(LIMIT_BYTES);
+    auto first = budget.hold(60);
+    CHECK_FALSE(budget.exhausted());
+    auto second = budget.hold(60);
+    const auto copy = second;
+    CHECK(budget.exhausted());
+    CHECK(budget.awaitSpace());
+    second.reset();
+    CHECK(budget.held() == 120);
+    first.reset();
+    CHECK(budget.held() == 60);
+    // The producer sleeps until half of the limit is free.
+    CHECK(budget.awaitSpace());
+}
+
+TEST_CASE("a producer that waits for bytes to be handled is not woken")
+{
+    constexpr int BLOCKS = 20'000;
+    constexpr std::size_t BLOCK_BYTES = 64;
+    byte_budget budget(16 * BLOCK_BYTES);
+    boost::asio::io_context context;
+    boost::asio::posix::stream_descriptor space(context, budget.space().descriptor());
+    ring<byte_lease> blocks(BLOCKS);
+    std::thread consumer([&] {
+        byte_lease block;
+        for (int taken = 0; taken < BLOCKS;) {
+            if (blocks.tryPop(block)) {
+                block.reset();
+                ++taken;
+            } else {
+                std::this_thread::yield();
+            }
+        }
+    });
+    int sent = 0;
+    std::function<void()> produce = [&] {
+        while (sent < BLOCKS && !budget.exhausted()) {
+            REQUIRE_FALSE(blocks.tryPush(budget.hold(BLOCK_BYTES)));
+            ++sent;
+        }
+        if (sent == BLOCKS) {
+            return;
+        }
+        if (!budget.awaitSpace()) {
+            budget.space().signal();
+        }
+        space.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                         [&](boost::system::error_code) {
+                             budget.space().clear();
+                             produce();
+                         });
+    };
+    produce();
+    context.run();
+    consumer.join();
+    space.release();
+    CHECK(sent == BLOCKS);
+    CHECK(budget.held() == 0);
+}
--- a/src/gateway/gatewayduty.h
+++ b/src/gateway/gatewayduty.h
@@ -94,6 +94,8 @@
     static constexpr std::size_t BACKLOG_LIMIT = 1 << 14;
     /// Unsent bytes of a stream above which its connection is closed: the caller reads too slowly.
     static constexpr std::size_t UNREAD_LIMIT_BYTES = 1024 * 1024;
+    /// Unsent bytes of all streams together above which those with the most are closed.
+    static constexpr std::size_t TOTAL_UNREAD_LIMIT_BYTES = 16 * 1024 * 1024;
 
     auto refuse(const session_ptr &from, failure reason) -> void
     {
@@ -122,10 +124,17 @@
             return;
         }
         to->sendChunk(events.bytes);
-        if (to->backlogBytes() > UNREAD_LIMIT_BYTES) {
+        if (to->backlogBytes() > UNREAD_LIMIT_BYTES || exceedsShare(*to)) {
             to->close();
         }
     }
+    /// Whether the unsent bytes of all streams exceed their limit, and this one its even share.
+    auto exceedsShare(const http_session<gateway_duty> &session) const -> bool
+    {
+        const auto sessions = std::max<std::size_t>(1, m_server.connections());
+        return session.backlogBytes() > TOTAL_UNREAD_LIMIT_BYTES / sessions
+               && m_server.backlogBytes() > TOTAL_UNREAD_LIMIT_BYTES;
+    }
     auto on(const end_response_stream &ended) -> void
     {
         if (const auto to = m_server.find(ended.callerId)) {
--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -68,6 +68,18 @@
     ~scripted_server() { m_thread.join(); }
 
     auto address() const -> endpoint { return {.port = m_acceptor.local_endpoint().port()}; }
+    /// Waits until nothing more has been written for a while, and returns the bytes written.
+    auto writtenUntilBlocked() -> std::size_t
+    {
+        constexpr std::chrono::milliseconds QUIET{500};
+        std::unique_lock lock(m_mutex);
+        for (auto seen = m_written;; seen = m_written) {
+            m_changed.wait_for(lock, QUIET, [this] { return m_ended; });
+            if (m_ended || (seen == m_written && seen > 0)) {
+                return m_written;
+            }
+        }
+    }
     /// Bytes written before the client closed. Call after the client is done.
     auto written() -> std::size_t
     {
@@ -91,6 +103,8 @@
         std::size_t written = 0;
         while (!error && !m_script.repeat.empty() && written < WRITE_LIMIT_BYTES) {
             written += boost::asio::write(socket, boost::asio::buffer(m_script.repeat), error);
+            const std::lock_guard lock(m_mutex);
+            m_written = written;
         }
         if (m_script.end == answer_end::reset) {
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
@@ -112,17 +126,18 @@
     std::thread m_thread;
 };
 
-/// Events of one request to a scripted server, until its exchange has ended.
+/// Events of one request to a scripted server, until its exchange has ended. They may stay in the
+/// ring instead.
 class exchange_fixture
 {
 public:
-    exchange_fixture(scripted_answer script, bool stream, upstream_options options = {})
+    exchange_fixture(scripted_answer script, bool stream, upstream_options options = {},
+                     bool consumed = true)
         : m_server(std::move(script))
         , m_events(m_context, m_rings.fromServers, *this)
         , m_commands(m_context, m_rings.toServers, 1)
         , m_duty(options, m_rings)
     {
-        m_events.start();
         m_duty.start();
         auto request = std::make_shared<forward_request>();
         request->requestId = "r1";
@@ -132,7 +147,17 @@
                                      .request = request,
                                      .deadlineMs = 30'000,
                                      .stream = stream});
-        m_context.run();
+        if (consumed) {
+            m_events.start();
+            m_context.run();
+            m_duty.stop();
+        }
+    }
+    /// Ends a duty whose events are not consumed, and closes its connections.
+    auto stop() -> void
+    {
+        m_commands.push(cancel_exchange{1});
+        CHECK(m_server.written() > 0);
         m_duty.stop();
     }
 
@@ -328,3 +353,31 @@
         }
     }
 }
+
+// A server sent events without end faster than the entry handled them. They filled the queue
+// between two duties, which was bounded by their number only, until the process ran out of memory.
+TEST_CASE("a stream that is faster than its consumer is kept in memory")
+{
+    constexpr std::size_t READ_LIMIT_BYTES = 32 * 1024 * 1024;
+    const std::vector<std::string> repeated{"id: 1\n\n",
+                                            "id: 1\ndata: " + std::string(4'096, 'x') + "\n\n"};
+    for (const auto &event : repeated) {
+        CAPTURE(event.size());
+        std::string block;
+        while (block.size() < 16 * 1024) {
+            block += event;
+        }
+        exchange_fixture f({.begin = STREAM_HEAD + "\r\n", .repeat = block}, true, {}, false);
+        CHECK(f.server().writtenUntilBlocked() < READ_LIMIT_BYTES);
+        f.stop();
+    }
+}
+
+// Events that never ended counted towards no limit on all answers together.
+TEST_CASE("an event without end is held beyond the limit on all answers together")
+{
+    const upstream_options options{.totalBodyLimitBytes = 64 * 1024};
+    exchange_fixture f({.begin = STREAM_HEAD + "\r\n" + std::string(128 * 1024, 'x')}, true,
+                       options);
+    CHECK(f.error() == make_error_code(upstream_error::event_too_large));
+}
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -89,11 +89,17 @@
 }
 
 /// Metrics of the connections to backend servers.
-enum class upstream_metric { connections_opened, connections_reused, answers_skipped };
+enum class upstream_metric {
+    connections_opened,
+    connections_reused,
+    answers_skipped,
+    streams_paused
+};
 inline constexpr std::array upstreamMetricNames{
     enum_name<upstream_metric>{upstream_metric::connections_opened, "server_connections_opened"},
     enum_name<upstream_metric>{upstream_metric::connections_reused, "server_connections_reused"},
     enum_name<upstream_metric>{upstream_metric::answers_skipped, "server_answers_skipped"},
+    enum_name<upstream_metric>{upstream_metric::streams_paused, "server_streams_paused"},
 };
 constexpr auto namesOf(upstream_metric) -> const auto &
 {
@@ -114,7 +120,8 @@
     std::int64_t copyTimeoutMs = 2'500;
     /// Time after a request's deadline at which its exchange is cancelled.
     std::int64_t deadlineGraceMs = 1'000;
-    /// Limits on one answer that is held until it is complete, and on all of them together.
+    /// Limits on one answer that is held until it is complete, and on all of them together with
+    /// the events that have begun.
     std::size_t bodyLimitBytes = 8 * 1024 * 1024;
     std::size_t totalBodyLimitBytes = 32 * 1024 * 1024;
 };
@@ -133,8 +140,14 @@
         , m_events(m_worker.context(), rings.fromServers, BACKLOG_LIMIT)
         , m_commands(m_worker.context(), rings.toServers, *this)
         , m_sweepTimer(m_worker.context())
+        , m_streamBytes(rings.streamBytes)
+        , m_streamSpace(m_worker.context(), rings.streamBytes.space().descriptor())
     { }
-    ~upstream_duty() { stop(); }
+    ~upstream_duty()
+    {
+        stop();
+        m_streamSpace.release();
+    }
 
     auto start() -> void
     {
@@ -197,15 +210,26 @@
             return body_verdict::take;
         }
         std::vector<stream_event> events;
-        if (!exchange.splitter.feed(bytes, events)) {
+        if (!exchange.splitter.feed(bytes, events) || exceedsShare(exchange)) {
             exchange.error = make_error_code(upstream_error::event_too_large);
         }
         if (!events.empty()) {
             exchange.hasEvents = true;
+            auto held = m_streamBytes.hold(memoryOf(events));
             publish(stream_advanced{.exchangeId = exchange.send.exchangeId,
-                                    .events = std::move(events)});
+                                    .events = std::move(events),
+                                    .held = std::move(held)});
+        }
+        if (exchange.error) {
+            return body_verdict::refuse;
         }
-        return exchange.error ? body_verdict::refuse : body_verdict::take;
+        if (m_streamBytes.exhausted()) {
+            m_metrics.add(upstream_metric::streams_paused);
+            from.pause();
+            m_paused.push_back(from.id());
+            awaitStreamSpace();
+        }
+        return body_verdict::take;
     }
     auto onDone(channel &from, const channel_outcome &outcome) -> void
     {
@@ -248,6 +272,7 @@
         response_head head;
 
         auto isRefused() const -> bool { return head.notRun || head.wrongServer; }
+        auto heldBytes() const -> std::size_t { return body.size() + splitter.heldBytes(); }
         int status = 0;
         std::optional<std::int64_t> idleTimeoutMs;
         bool streaming = false;
@@ -314,15 +339,41 @@
                        .request = Codec::encode(released),
                        .timeoutAt = deadlineIn(m_options.copyTimeoutMs)});
     }
+    /// Lets the streams that wait go on once callers have taken enough of what was passed on.
+    auto awaitStreamSpace() -> void
+    {
+        if (std::exchange(m_awaitsStreamSpace, true)) {
+            return;
+        }
+        if (!m_streamBytes.awaitSpace()) {
+            m_streamBytes.space().signal();
+        }
+        m_streamSpace.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                                 [this](boost::system::error_code error) {
+                                     m_awaitsStreamSpace = false;
+                                     if (!error) {
+                                         m_streamBytes.space().clear();
+                                         resumeStreams();
+                                     }
+                                 });
+    }
+    auto resumeStreams() -> void
+    {
+        for (const auto channelId : std::exchange(m_paused, {})) {
+            if (const auto found = m_channels.find(channelId); found != m_channels.end()) {
+                found->second->resume();
+            }
+        }
+    }
     /// Whether the answers held together exceed their limit, and this one its even share of it.
     auto exceedsShare(const exchange_state &exchange) const -> bool
     {
-        if (exchange.body.size() <= m_options.totalBodyLimitBytes / m_exchanges.size()) {
+        if (exchange.heldBytes() <= m_options.totalBodyLimitBytes / m_exchanges.size()) {
             return false;
         }
         std::size_t bytes = 0;
         for (const auto &[channelId, other] : m_exchanges) {
-            bytes += other.body.size();
+            bytes += other.heldBytes();
         }
         return bytes > m_options.totalBodyLimitBytes;
     }
@@ -357,6 +408,14 @@
         return exchange.kind == exchange_kind::forward
                && !(refused && exchange.send.freshConnection);
     }
+    static auto memoryOf(const std::vector<stream_event> &events) -> std::size_t
+    {
+        std::size_t bytes = events.size() * sizeof(stream_event);
+        for (const auto &event : events) {
+            bytes += event.bytes.size();
+        }
+        return bytes;
+    }
     auto deadlineIn(std::int64_t ms) const -> time_us { return m_clock.now() + toUs(ms); }
     /// Starts an exchange on an idle channel, or on a new one if there is none.
     auto startExchange(const endpoint &server, const std::optional<idle_channel> &idle,
@@ -552,6 +611,11 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_channelByExchange;
     std::unordered_map<std::string, std::vector<idle_channel>> m_idle;
     std::uint64_t m_lastChannelId = 0;
+    byte_budget &m_streamBytes;
+    boost::asio::posix::stream_descriptor m_streamSpace;
+    bool m_awaitsStreamSpace = false;
+    /// Channels whose streams wait until callers have taken more.
+    std::vector<std::uint64_t> m_paused;
 };
 
 } // namespace marjoram
