--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -367,7 +367,7 @@
             {"resumed", std::int64_t{resumes}}};
         if (m_stopAt) {
             fields.push_back({"stop_in_ms", msUntil(*m_stopAt)});
-            fields.push_back({"expected_ms", msUntil(endBeforeStop(request))});
+            fields.push_back({"expected_ms", msUntil(assumedEnd(request))});
         }
         log(log_event::request_sent, request, std::move(fields));
     }
@@ -768,10 +768,10 @@
     {
         return request.phase == request_phase::waiting || request.phase == request_phase::asking;
     }
-    /// Returns by when the request, if it is sent now, has ended as far as a stop is concerned.
-    /// Only the deadline bounds the time that a server takes. A request that callers may repeat
-    /// need not be bounded: it hardly ever ends late, and then does no harm.
-    auto endBeforeStop(const request_state &request) -> time_us
+    /// Returns the end of the request, if it is sent now, that a stop relies on. Only the deadline
+    /// bounds the time that a server takes. For a request that callers may repeat an expected end
+    /// is enough: it hardly ever ends later, and then does no harm.
+    auto assumedEnd(const request_state &request) -> time_us
     {
         return request.route->kind == work_kind::repeatable
                    ? m_forecast.expectedAnswerAt(request, m_clock.now())
@@ -780,7 +780,7 @@
     /// Whether the process stops and may end before the request, if it is sent now.
     auto mayOutlastProcess(const request_state &request) -> bool
     {
-        return m_stopAt && endBeforeStop(request) > *m_stopAt;
+        return m_stopAt && assumedEnd(request) > *m_stopAt;
     }
     /// Ends a request that no server has at present and that the stopping process cannot complete.
     auto failStopping(request_state &request) -> void
