--- a/src/framework/ring/tests/ringtests.cpp
+++ b/src/framework/ring/tests/ringtests.cpp
@@ -3,11 +3,9 @@
 #include "framework/ring/ringends.h"
 
 #include <doctest/doctest.h>
-#include <functional>
 #include <future>
 #include <stdexcept>
 #include <string>
-#include <thread>
 
 using namespace marjoram;
 
@@ -29,6 +27,60 @@
     std::promise<void> done;
 };
 
+/// Puts blocks into a ring, and waits whenever the budget is used up.
+class lease_producer
+{
+public:
+    static constexpr int BLOCKS = 20'000;
+    static constexpr std::size_t BLOCK_BYTES = 64;
+
+    lease_producer(boost::asio::io_context &context, byte_budget &budget, ring<byte_lease> &blocks)
+        : m_budget(budget)
+        , m_blocks(blocks)
+        , m_space(context, budget.space().descriptor())
+    { }
+    ~lease_producer() { m_space.release(); }
+
+    auto produce() -> void
+    {
+        while (m_sent < BLOCKS && !m_budget.exhausted()) {
+            REQUIRE_FALSE(m_blocks.tryPush(m_budget.hold(BLOCK_BYTES)));
+            ++m_sent;
+        }
+        if (m_sent == BLOCKS) {
+            return;
+        }
+        if (!m_budget.awaitSpace()) {
+            m_budget.space().signal();
+        }
+        m_space.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                           [this](boost::system::error_code) {
+                               m_budget.space().clear();
+                               produce();
+                           });
+    }
+    auto sent() const -> int { return m_sent; }
+
+private:
+    byte_budget &m_budget;
+    ring<byte_lease> &m_blocks;
+    boost::asio::posix::stream_descriptor m_space;
+    int m_sent = 0;
+};
+
+struct lease_consumer
+{
+    auto handle(byte_lease &&block) -> void
+    {
+        block.reset();
+        if (++received == lease_producer::BLOCKS) {
+            done.set_value();
+        }
+    }
+    int received = 0;
+    std::promise<void> done;
+};
+
 /// Fails on every third item.
 struct failing_consumer
 {
@@ -142,45 +194,19 @@
 
 TEST_CASE("a producer that waits for bytes to be handled is not woken")
 {
-    constexpr int BLOCKS = 20'000;
-    constexpr std::size_t BLOCK_BYTES = 64;
-    byte_budget budget(16 * BLOCK_BYTES);
+    byte_budget budget(16 * lease_producer::BLOCK_BYTES);
+    ring<byte_lease> blocks(lease_producer::BLOCKS);
+    lease_consumer consumer;
+    duty consuming("consumer");
+    ring_reader<byte_lease, lease_consumer> reader(consuming.context(), blocks, consumer);
+    reader.start();
+    consuming.start();
     boost::asio::io_context context;
-    boost::asio::posix::stream_descriptor space(context, budget.space().descriptor());
-    ring<byte_lease> blocks(BLOCKS);
-    std::thread consumer([&] {
-        byte_lease block;
-        for (int taken = 0; taken < BLOCKS;) {
-            if (blocks.tryPop(block)) {
-                block.reset();
-                ++taken;
-            } else {
-                std::this_thread::yield();
-            }
-        }
-    });
-    int sent = 0;
-    std::function<void()> produce = [&] {
-        while (sent < BLOCKS && !budget.exhausted()) {
-            REQUIRE_FALSE(blocks.tryPush(budget.hold(BLOCK_BYTES)));
-            ++sent;
-        }
-        if (sent == BLOCKS) {
-            return;
-        }
-        if (!budget.awaitSpace()) {
-            budget.space().signal();
-        }
-        space.async_wait(boost::asio::posix::stream_descriptor::wait_read,
-                         [&](boost::system::error_code) {
-                             budget.space().clear();
-                             produce();
-                         });
-    };
-    produce();
+    lease_producer producer(context, budget, blocks);
+    producer.produce();
     context.run();
-    consumer.join();
-    space.release();
-    CHECK(sent == BLOCKS);
+    consumer.done.get_future().wait();
+    consuming.stop();
+    CHECK(producer.sent() == lease_producer::BLOCKS);
     CHECK(budget.held() == 0);
 }
