Observability: each failed call of the store is a log line, and the age of each feed a metric

Metrics directory_configuration_answered_unix_ms and directory_servers_answered_unix_ms show how old each feed is. No decision has changed.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -21,6 +21,8 @@
     directory_servers,
     service_lost,
     service_failures,
+    configuration_answered_unix_ms,
+    servers_answered_unix_ms,
 };
 inline constexpr std::array directoryMetricNames{
     enum_name<directory_metric>{directory_metric::configuration_version, "configuration_version"},
@@ -28,6 +30,10 @@
     enum_name<directory_metric>{directory_metric::directory_servers, "directory_servers"},
     enum_name<directory_metric>{directory_metric::service_lost, "directory_service_lost"},
     enum_name<directory_metric>{directory_metric::service_failures, "directory_service_failures"},
+    enum_name<directory_metric>{directory_metric::configuration_answered_unix_ms,
+                                "directory_configuration_answered_unix_ms"},
+    enum_name<directory_metric>{directory_metric::servers_answered_unix_ms,
+                                "directory_servers_answered_unix_ms"},
 };
 constexpr auto namesOf(directory_metric) -> const auto &
 {
@@ -152,8 +158,12 @@
         {
             duty.m_source.watch(kind, revision, longPollMs);
         }
-        auto onServiceLost() -> void { duty.onServiceState(kind, true); }
-        auto onServiceRegained() -> void { duty.onServiceState(kind, false); }
+        auto onCallFailed(const call_failure &failure) -> void { duty.onCallFailed(kind, failure); }
+        auto onServiceLost() -> void { duty.onServiceLost(kind); }
+        auto onServiceRegained(const service_outage &outage) -> void
+        {
+            duty.onServiceRegained(kind, outage);
+        }
         auto onHistory(history_order order, const history_position &known,
                        const history_position &answered) -> void
         {
@@ -171,7 +181,10 @@
                 this->duty.applyConfiguration(item.value->text);
             }
         }
-        auto onSynced() -> void { }
+        auto onSynced() -> void
+        {
+            this->duty.onAnswered(directory_metric::configuration_answered_unix_ms);
+        }
     };
     struct servers_sink : feed_sink
     {
@@ -184,7 +197,11 @@
                 this->duty.onListed(item.value->id);
             }
         }
-        auto onSynced() -> void { this->duty.publishServers(); }
+        auto onSynced() -> void
+        {
+            this->duty.onAnswered(directory_metric::servers_answered_unix_ms);
+            this->duty.publishServers();
+        }
     };
 
     auto applyConfiguration(const std::string &text) -> void
@@ -247,13 +264,32 @@
         updateReady();
     }
     auto updateReady() -> void { m_state.ready = m_table != nullptr && m_serversListed; }
-    auto onServiceState(feed_kind kind, bool lost) -> void
+    auto onAnswered(directory_metric metric) -> void { m_metrics.set(metric, m_clock.unixMs()); }
+    auto onCallFailed(feed_kind kind, const call_failure &failure) -> void
+    {
+        m_log.write(log_event::directory_call_failed,
+                    {{"feed", std::string(nameOf(kind))},
+                     {"call", std::string(nameOf(failure.call))},
+                     {"error", m_lastError.message()},
+                     {"call_ms", failure.callUs / US_PER_MS},
+                     {"failures", static_cast<std::int64_t>(failure.failures)},
+                     {"retry_ms", failure.retryInUs / US_PER_MS}});
+    }
+    auto onServiceLost(feed_kind kind) -> void
+    {
+        m_metrics.add(directory_metric::service_lost);
+        m_log.write(log_event::dependency_lost, {{"dependency", std::string("directory_service")},
+                                                 {"feed", std::string(nameOf(kind))},
+                                                 {"error", m_lastError.message()}});
+    }
+    auto onServiceRegained(feed_kind kind, const service_outage &outage) -> void
     {
-        m_metrics.add(directory_metric::service_lost, lost ? 1 : -1);
-        m_log.write(lost ? log_event::dependency_lost : log_event::dependency_regained,
+        m_metrics.add(directory_metric::service_lost, -1);
+        m_log.write(log_event::dependency_regained,
                     {{"dependency", std::string("directory_service")},
                      {"feed", std::string(nameOf(kind))},
-                     {"error", lost ? m_lastError.message() : std::string()}});
+                     {"unanswered_ms", outage.unansweredUs / US_PER_MS},
+                     {"failures", static_cast<std::int64_t>(outage.failures)}});
     }
     auto onHistory(feed_kind kind, history_order order, const history_position &known,
                    const history_position &answered) -> void
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -103,17 +103,49 @@
     std::int64_t maxOutdatedUs = 10 * US_PER_SECOND;
 };
 
+/// Call of a list_watch.
+enum class directory_call { list, watch };
+inline constexpr std::array directoryCallNames{
+    enum_name<directory_call>{directory_call::list, "list"},
+    enum_name<directory_call>{directory_call::watch, "watch"},
+};
+constexpr auto namesOf(directory_call) -> const auto &
+{
+    return directoryCallNames;
+}
+
+/// A call that failed, and what follows.
+struct call_failure
+{
+    directory_call call = directory_call::list;
+    /// Time from the start of the call to its failure.
+    std::int64_t callUs = 0;
+    std::int64_t retryInUs = 0;
+    /// Failures in a row.
+    std::uint32_t failures = 0;
+};
+
+/// An outage of the service as a list_watch has seen it.
+struct service_outage
+{
+    /// Time from the last answer before it to the first one after it.
+    std::int64_t unansweredUs = 0;
+    std::uint32_t failures = 0;
+};
+
 /// Makes the calls of a list_watch and gets its events.
 template <typename S, typename Item>
 concept list_watch_sink = requires(S &sink, const std::string &after, std::uint64_t revision,
-                                   const published<Item> &item, const history_position &position)
+                                   const published<Item> &item, const history_position &position,
+                                   const call_failure &failure, const service_outage &outage)
 {
     sink.list(after);
     sink.watch(revision, std::int64_t{});
     sink.onPublished(item);
     sink.onSynced();
+    sink.onCallFailed(failure);
     sink.onServiceLost();
-    sink.onServiceRegained();
+    sink.onServiceRegained(outage);
     sink.onHistory(history_order{}, position, position);
 };
 
@@ -134,7 +166,11 @@
         static_assert(list_watch_sink<Sink, Item>);
     }
 
-    auto start() -> void { m_sink.list({}); }
+    auto start() -> void
+    {
+        m_answeredAt = m_clock.now();
+        list({});
+    }
 
     // --- answers of the service
 
@@ -166,7 +202,7 @@
                 return;
             }
             m_listedUpTo = last;
-            m_sink.list(last);
+            list(last);
             return;
         }
         removeUnlisted();
@@ -200,7 +236,7 @@
         m_listing = true;
         m_listedKeys.clear();
         m_listedUpTo.clear();
-        m_sink.list({});
+        list({});
     }
     auto onFailed() -> void
     {
@@ -210,6 +246,11 @@
         m_listedKeys.clear();
         ++m_failures;
         scheduleRetry();
+        const auto now = m_clock.now();
+        m_sink.onCallFailed({.call = m_listing ? directory_call::list : directory_call::watch,
+                             .callUs = now - m_calledAt,
+                             .retryInUs = *m_nextCallAt - now,
+                             .failures = m_failures});
     }
 
     /// A change is expected before `until`: the pause between watches is shorter until then, or
@@ -316,11 +357,17 @@
     {
         if (m_listing) {
             m_listedUpTo.clear();
-            m_sink.list({});
+            list({});
         } else {
+            m_calledAt = m_clock.now();
             m_sink.watch(m_revision, m_options.longPollMs);
         }
     }
+    auto list(const std::string &after) -> void
+    {
+        m_calledAt = m_clock.now();
+        m_sink.list(after);
+    }
     auto finishSync() -> void
     {
         m_listing = false;
@@ -333,12 +380,14 @@
     }
     auto markAvailable() -> void
     {
-        m_failures = 0;
+        const auto now = m_clock.now();
+        const service_outage outage{.unansweredUs = now - std::exchange(m_answeredAt, now),
+                                    .failures = std::exchange(m_failures, 0)};
         if (!std::exchange(m_lost, false)) {
             return;
         }
-        m_removalGraceUntil = m_clock.now() + m_options.removalGraceUs;
-        m_sink.onServiceRegained();
+        m_removalGraceUntil = now + m_options.removalGraceUs;
+        m_sink.onServiceRegained(outage);
     }
     auto receive(published<Item> item) -> void
     {
@@ -438,6 +487,10 @@
     /// Failures in a row.
     std::uint32_t m_failures = 0;
     std::optional<time_us> m_nextCallAt;
+    /// When the latest call was made.
+    time_us m_calledAt;
+    /// When the service answered last, or the start.
+    time_us m_answeredAt;
     time_us m_syncedAt;
     time_us m_expectingUntil;
     std::optional<time_us> m_removalGraceUntil;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -19,8 +19,9 @@
     auto watch(std::uint64_t revision, std::int64_t) -> void { watches.push_back(revision); }
     auto onPublished(const published<int> &) -> void { }
     auto onSynced() -> void { ++synced; }
+    auto onCallFailed(const call_failure &) -> void { }
     auto onServiceLost() -> void { ++lost; }
-    auto onServiceRegained() -> void { ++regained; }
+    auto onServiceRegained(const service_outage &) -> void { ++regained; }
     auto onHistory(history_order order, const history_position &, const history_position &) -> void
     {
         orders.push_back(order);
