--- /dev/null
+++ b/src/directory/tests/directoryreturntests.cpp
@@ -0,0 +1,122 @@
+#include "directory/tests/virtualdirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjoram;
+
+namespace {
+
+/// Bounds of a small, a grown and a large fleet.
+constexpr std::array BOUNDS{
+    directory_bounds{.leavingMs = 2'000, .configurationMs = 2'000, .contactMs = 3'000},
+    directory_bounds{.leavingMs = 3'000, .configurationMs = 3'000, .contactMs = 4'000},
+    directory_bounds{.leavingMs = 4'000, .configurationMs = 4'000, .contactMs = 5'000},
+};
+constexpr std::int64_t STEADY_MS = 10'000;
+constexpr std::int64_t OBSERVED_MS = 40'000;
+
+/// How late changes become known over many scenarios.
+struct lateness
+{
+    std::int64_t worstMs = INT64_MIN;
+    std::string worst;
+
+    auto add(const directory_scenario &scenario, std::int64_t latestMs) -> void
+    {
+        const auto seen = virtual_directory(scenario).play(OBSERVED_MS).value_or(OBSERVED_MS);
+        if (seen - latestMs <= worstMs) {
+            return;
+        }
+        worstMs = seen - latestMs;
+        worst = "started at " + std::to_string(scenario.startMs) + ", changed at "
+                + std::to_string(scenario.changeMs);
+        for (const auto &one : scenario.troubles) {
+            worst += ", " + std::string(nameOf(one.kind)) + " " + std::to_string(one.fromMs) + "-"
+                     + std::to_string(one.toMs);
+        }
+    }
+};
+
+/// Adds the changes that an operator may make to the configuration after a trouble.
+auto addConfigurationChanges(lateness &late, directory_scenario scenario,
+                             const directory_bounds &bounds) -> void
+{
+    scenario.options = directoryOptionsFor(bounds).configuration;
+    const auto end = scenario.endMs();
+    for (const auto afterMs :
+         {std::int64_t{0}, bounds.contactMs - bounds.configurationMs, bounds.contactMs}) {
+        scenario.changeMs = end + afterMs;
+        late.add(scenario,
+                 std::max(end + bounds.contactMs, scenario.changeMs + bounds.configurationMs));
+    }
+}
+
+/// Adds a server that leaves, and one whose entry is removed, as soon as the bound holds again.
+auto addServerChanges(lateness &late, directory_scenario scenario, const directory_bounds &bounds)
+    -> void
+{
+    scenario.options = directoryOptionsFor(bounds).servers;
+    scenario.changeMs = scenario.endMs() + bounds.contactMs;
+    for (const auto removed : {false, true}) {
+        scenario.removed = removed;
+        late.add(scenario, scenario.changeMs + bounds.leavingMs);
+    }
+}
+
+/// Plays a trouble that begins in every phase of a feed's calls and pauses.
+auto playPhases(service_trouble kind, service_return comesBack, const directory_bounds &bounds,
+                auto &&addChanges) -> lateness
+{
+    constexpr std::int64_t PHASE_STEP_MS = 70;
+    lateness late;
+    const auto lengths = kind == service_trouble::connections_dead
+                             ? std::vector<std::int64_t>{0}
+                             : std::vector<std::int64_t>{1, 400, 1'500, 2'600, 8'000};
+    const auto cycleMs = 2 * bounds.leavingMs;
+    for (const auto lengthMs : lengths) {
+        for (std::int64_t phase = 0; phase < cycleMs; phase += PHASE_STEP_MS) {
+            const auto from = STEADY_MS + phase;
+            directory_scenario scenario{
+                .troubles = {{.kind = kind, .fromMs = from, .toMs = from + lengthMs}},
+                .comesBack = comesBack,
+                .seed = static_cast<std::uint64_t>(phase + 1)};
+            addChanges(late, scenario, bounds);
+            scenario.startMs = from + lengthMs / 2;
+            addChanges(late, scenario, bounds);
+        }
+    }
+    return late;
+}
+
+/// Plays every trouble and every return with the bounds of every fleet.
+auto checkAll(auto &&addChanges) -> void
+{
+    for (const auto &bounds : BOUNDS) {
+        for (const auto &[kind, kindName] : serviceTroubleNames) {
+            for (const auto &[comesBack, returnName] : serviceReturnNames) {
+                const auto late = playPhases(kind, comesBack, bounds, addChanges);
+                CAPTURE(bounds.contactMs);
+                CAPTURE(kindName);
+                CAPTURE(returnName);
+                CAPTURE(late.worst);
+                CHECK(late.worstMs <= 0);
+            }
+        }
+    }
+}
+
+} // namespace
+
+// A watch that was sent to a silent store was waited for so long, and followed by such a pause,
+// that the next call came after the bound.
+TEST_CASE("a configuration is in force too late after the directory service was away"
+          * doctest::may_fail())
+{
+    checkAll(addConfigurationChanges);
+}
+
+TEST_CASE("a server that leaves is known too late after the directory service was away"
+          * doctest::may_fail())
+{
+    checkAll(addServerChanges);
+}
