--- a/src/directory/tests/directoryreturntests.cpp
+++ b/src/directory/tests/directoryreturntests.cpp
@@ -76,10 +76,10 @@
     for (const auto lengthMs : lengths) {
         for (std::int64_t phase = 0; phase < cycleMs; phase += PHASE_STEP_MS) {
             const auto from = STEADY_MS + phase;
-            directory_scenario scenario{
-                .troubles = {{.kind = kind, .fromMs = from, .toMs = from + lengthMs}},
-                .comesBack = comesBack,
-                .seed = static_cast<std::uint64_t>(phase + 1)};
+            directory_scenario scenario{.troubles
+                                        = {{.kind = kind, .fromMs = from, .toMs = from + lengthMs}},
+                                        .comesBack = comesBack,
+                                        .seed = static_cast<std::uint64_t>(phase + 1)};
             addChanges(late, scenario, bounds);
             scenario.startMs = from + lengthMs / 2;
             addChanges(late, scenario, bounds);
--- a/src/directory/tests/virtualdirectory.h
+++ b/src/directory/tests/virtualdirectory.h
@@ -103,8 +103,8 @@
     /// Calls that were made from a time on.
     auto callsSince(std::int64_t ms) const -> std::size_t
     {
-        return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(),
-                                                      [ms](auto at) { return at >= ms; }));
+        return static_cast<std::size_t>(
+            std::count_if(m_calls.begin(), m_calls.end(), [ms](auto at) { return at >= ms; }));
     }
 
     // --- called by the feed
@@ -170,11 +170,10 @@
 
     auto isIn(service_trouble kind) const -> bool
     {
-        return std::any_of(m_scenario.troubles.begin(), m_scenario.troubles.end(),
-                           [&](const auto &one) {
-                               return one.kind == kind && one.fromMs <= m_nowMs
-                                      && m_nowMs < one.toMs;
-                           });
+        return std::any_of(
+            m_scenario.troubles.begin(), m_scenario.troubles.end(), [&](const auto &one) {
+                return one.kind == kind && one.fromMs <= m_nowMs && m_nowMs < one.toMs;
+            });
     }
     auto answerDelayMs() const -> std::int64_t
     {
@@ -285,8 +284,7 @@
         if (cut && m_connection == connection_state::none) {
             m_call->outcome = completion::failure;
             m_call->endsMs = m_nowMs + CONNECT_TIMEOUT_MS;
-        } else if (cut || isIn(service_trouble::silent)
-                   || m_connection == connection_state::dead) {
+        } else if (cut || isIn(service_trouble::silent) || m_connection == connection_state::dead) {
             loseCall();
         } else {
             m_connection = connection_state::alive;
