Publications: a document was read too late after its service was silent

Now a read has 0.9 s beyond its watch, and retry_schedule bounds the time to the next one as it does for the directory's feeds. Evidence: "a document is read too late after its service was silent" with the limits of before (3 s, pause up to 1 s) counts 1 call in 2 s where 3 are expected, and passes now. That it happened to a caller was not observed.

--- a/src/configuration/tests/documentwatchtests.cpp
+++ b/src/configuration/tests/documentwatchtests.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// A service that answers each call at once with the same document.
+/// A service that answers each call at once with the same document, or never.
 struct document_service
 {
     using session = http_session<document_service>;
@@ -15,12 +15,15 @@
     auto onRequest(const std::shared_ptr<session> &from) -> void
     {
         ++calls;
-        from->respond({.body = "document"});
+        if (!silent) {
+            from->respond({.body = "document"});
+        }
     }
     auto onDrained(session &) -> void { }
     auto onClosed(session &) -> void { }
     auto refusal(int status) -> http_response { return {.status = status}; }
     int calls = 0;
+    bool silent = false;
 };
 
 /// Refuses every document.
@@ -56,3 +59,38 @@
     CHECK(owner.refused >= 1);
     CHECK(service.calls < CALL_LIMIT);
 }
+
+// A call to a silent service was waited for 3 s longer than it was to last, and up to 1 s of pause
+// followed: longer than a document may take to be in force everywhere.
+TEST_CASE("a document is read too late after its service was silent")
+{
+    using std::chrono::milliseconds;
+    constexpr int MIN_CALLS = 3;
+    boost::asio::io_context context;
+    document_service service{.silent = true};
+    http_server<document_service> server(context, service, {});
+    const auto where = server.listen({});
+    REQUIRE(where.has_value());
+    refusing_owner owner;
+    document_watch<refusing_owner> watch(context,
+                                         {.service = *where,
+                                          .path = "/v1/manifest",
+                                          .watchTimeout = milliseconds(100),
+                                          .answerTimeout = milliseconds(100),
+                                          .retry = {.maxReturnUs = 250 * US_PER_MS}},
+                                         1, owner);
+    watch.start();
+    context.run_for(milliseconds(2'000));
+    CHECK(service.calls >= MIN_CALLS);
+}
+
+// The limits of a read add up to less than the time within which a document is in force everywhere.
+TEST_CASE("a document's limits leave no time to be in force within the bound")
+{
+    constexpr std::int64_t BOUND_US = 5 * US_PER_SECOND;
+    const document_watch_options options;
+    const auto longestUs = std::chrono::microseconds(options.watchTimeout + options.answerTimeout);
+    CHECK(longestUs.count() < options.retry.maxReturnUs);
+    CHECK(options.retry.maxReturnUs + std::chrono::microseconds(options.answerTimeout).count()
+          < BOUND_US);
+}
--- a/src/publications/documentwatch.h
+++ b/src/publications/documentwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "framework/global/identifiers.h"
+#include "framework/global/clock.h"
+#include "framework/global/retryschedule.h"
 #include "framework/http/httpfetch.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -16,8 +17,14 @@
     std::string path;
     /// Longest time for which the service holds a watch without a newer version.
     std::chrono::milliseconds watchTimeout{2'000};
-    /// The pause after a failure is drawn at random up to this limit.
-    std::chrono::milliseconds maxRetryDelay{1'000};
+    /// Time for an answer beyond that.
+    std::chrono::milliseconds answerTimeout{900};
+    /// Processes start to read at the same moment: the pauses are drawn from a wide range. A
+    /// service that is back is read in time for a document to be in force everywhere within 5 s.
+    retry_schedule_options retry{.minRetryUs = 1 * US_PER_MS,
+                                 .maxRetryUs = 1'000 * US_PER_MS,
+                                 .maxBackoffUs = 1'000 * US_PER_MS,
+                                 .maxReturnUs = 3'500 * US_PER_MS};
 };
 
 /// Reads a published document and watches it by long polling. Calls `onDocument(watch, text)` of
@@ -34,6 +41,7 @@
         , m_options(std::move(options))
         , m_random(seed)
         , m_owner(owner)
+        , m_schedule(m_options.retry)
         , m_timer(context)
     { }
     ~document_watch()
@@ -43,7 +51,11 @@
         }
     }
 
-    auto start() -> void { read(false); }
+    auto start() -> void
+    {
+        m_schedule.start(m_clock.now());
+        read(false);
+    }
 
     // --- called by the fetch
 
@@ -60,48 +72,47 @@
         constexpr int OK = 200;
         constexpr int NO_CONTENT = 204;
         m_fetch.reset();
+        const auto now = m_clock.now();
         if (outcome.error || (outcome.status != OK && outcome.status != NO_CONTENT)) {
-            retryLater();
+            scheduleRead(m_schedule.onFailed(now, m_random) - now);
             return;
         }
+        m_schedule.onAnswered(now);
         if (outcome.status == OK) {
             const auto before = m_owner.versionOf(*this);
             m_owner.onDocument(*this, m_body);
             if (m_owner.versionOf(*this) == before) {
                 // The owner refused the document, and the service would give it again at once.
-                retryLater();
+                scheduleRead(m_schedule.onUnusable(now, m_random) - now);
                 return;
             }
         } else {
             m_owner.onConfirmed(*this);
         }
-        scheduleRead(std::chrono::milliseconds(m_owner.wantsWatch() ? 0 : IDLE_CHECK_MS));
+        scheduleRead(m_owner.wantsWatch() ? 0 : IDLE_CHECK_US);
     }
 
 private:
     static constexpr std::size_t BODY_LIMIT_BYTES = 2 * 1024 * 1024;
-    static constexpr int IDLE_CHECK_MS = 1'000;
-    static constexpr std::chrono::milliseconds READ_TIMEOUT_MARGIN{3'000};
+    static constexpr std::int64_t IDLE_CHECK_US = 1'000 * US_PER_MS;
 
     auto read(bool longPoll) -> void
     {
         m_body.clear();
+        m_schedule.onCalled(m_clock.now());
         auto target = m_options.path + "?after=" + std::to_string(m_owner.versionOf(*this));
         if (longPoll) {
             target += "&wait_ms=" + std::to_string(m_options.watchTimeout.count());
         }
-        const auto timeout = m_options.watchTimeout + READ_TIMEOUT_MARGIN;
+        const auto wait = longPoll ? m_options.watchTimeout : std::chrono::milliseconds{};
+        const auto timeout = wait + m_options.answerTimeout;
         m_fetch = std::make_shared<http_fetch<document_watch>>(
             m_context, *this, fetch_options{.readTimeout = timeout, .totalTimeout = timeout});
         m_fetch->start(m_options.service, {.target = std::move(target)});
     }
-    auto retryLater() -> void
-    {
-        scheduleRead(std::chrono::milliseconds(1 + m_random() % m_options.maxRetryDelay.count()));
-    }
-    auto scheduleRead(std::chrono::milliseconds pause) -> void
+    auto scheduleRead(std::int64_t pauseUs) -> void
     {
-        m_timer.expires_after(pause);
+        m_timer.expires_after(std::chrono::microseconds(pauseUs));
         m_timer.async_wait([this](boost::system::error_code error) {
             if (error) {
                 return;
@@ -111,7 +122,7 @@
             } else if (m_owner.wantsRead()) {
                 read(false);
             } else {
-                scheduleRead(std::chrono::milliseconds(IDLE_CHECK_MS));
+                scheduleRead(IDLE_CHECK_US);
             }
         });
     }
@@ -120,6 +131,8 @@
     document_watch_options m_options;
     random_source m_random;
     Owner &m_owner;
+    system_clock_source m_clock;
+    retry_schedule m_schedule;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<http_fetch<document_watch>> m_fetch;
     std::string m_body;
