--- a/src/directory/tests/directoryreturntests.cpp
+++ b/src/directory/tests/directoryreturntests.cpp
@@ -127,6 +127,40 @@
     checkReturns({service_return::restored}, addServerChanges);
 }
 
+TEST_CASE("troubles that follow each other or overlap add up to a late return")
+{
+    constexpr std::uint64_t SEEDS = 2'000;
+    constexpr std::int64_t MAX_GAP_MS = 4'000;
+    constexpr std::int64_t MAX_LENGTH_MS = 5'000;
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        random_source random(seed);
+        const auto below = [&random](auto limit) {
+            return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(limit));
+        };
+        const auto &bounds = BOUNDS[static_cast<std::size_t>(below(BOUNDS.size()))];
+        directory_scenario scenario{.seed = seed};
+        auto at = STEADY_MS;
+        for (auto left = 1 + below(4); left > 0; --left) {
+            at += below(MAX_GAP_MS);
+            const auto &kind
+                = serviceTroubleNames[static_cast<std::size_t>(below(serviceTroubleNames.size()))];
+            const auto dead = kind.value == service_trouble::connections_dead;
+            scenario.troubles.push_back({.kind = kind.value,
+                                         .fromMs = at,
+                                         .toMs = at + (dead ? 0 : 1 + below(MAX_LENGTH_MS))});
+        }
+        scenario.comesBack = serviceReturnNames[static_cast<std::size_t>(below(3))].value;
+        scenario.startMs = below(2) == 0 ? 0 : below(scenario.endMs());
+        scenario.heartbeatMs = below(2) == 0 ? 0 : 100;
+        CAPTURE(seed);
+        lateness late;
+        addConfigurationChanges(late, scenario, bounds);
+        addServerChanges(late, scenario, bounds);
+        CAPTURE(late.worst);
+        CHECK(late.worstMs <= 0);
+    }
+}
+
 // Each answer shows another restore where two copies of the service answer by turns.
 TEST_CASE("a service that seems to be restored with every answer is called without a pause")
 {
