Reports: a reporter that had been out of reach was asked for reports only every ten seconds

Entries that were cut off from the reporters for five seconds or more placed work without reports for up to ten more. A reporter without an answer is now asked in every third round, so within 3 s; a server without a reporter costs a datagram every 3 s instead of 10.

--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -42,8 +42,9 @@
     std::int64_t requestIntervalUs = 1 * US_PER_SECOND;
     /// Unanswered requests after which a server counts as having no reporter.
     std::uint32_t unansweredRequestLimit = 5;
-    /// A server without a reporter is asked again only in every n-th round of requests.
-    std::uint32_t retryRounds = 10;
+    /// A server without a reporter is asked again only in every n-th round of requests. It may have
+    /// one that could not be reached for a while.
+    std::uint32_t retryRounds = 3;
     /// Time for which a server that is no longer listed is still asked for reports.
     std::int64_t unlistedRetentionUs = 6 * US_PER_SECOND;
 };
