Directory: the store is called more often than the way back needs

The short watch made up for a connection that dies during the pause before it. Change: a connection that was not used at once after an answer is not used again, so a call starts on one that is known to be alive, and the watch of the servers waits as long as it did before the mend. A tenth of the bound is kept for the call that succeeds instead of a sixth.

--- a/src/directory/directoryoptions.h
+++ b/src/directory/directoryoptions.h
@@ -33,8 +33,7 @@
     // rest of the bound is for an answer on its way and for a compaction of the history.
     constexpr double PAUSE_SHARE = 0.65;
     constexpr double EXPECTANT_PAUSE_SHARE = 0.15;
-    // Heartbeats end a watch of the servers soon, so a short one costs few more calls.
-    constexpr double SERVERS_LONG_POLL_SHARE = 0.15;
+    constexpr double SERVERS_LONG_POLL_SHARE = 0.75;
     constexpr double BACKOFF_SHARE = 0.4;
     constexpr std::int64_t MIN_BACKOFF_MS = 400;
     // The service answers in milliseconds, and may be slowed down a hundredfold.
@@ -42,7 +41,7 @@
     constexpr double ANSWER_TIMEOUT_SHARE = 0.3;
     // Part of the time after a disturbance for the call that succeeds: a new connection, another
     // listing, and the time until a change is applied.
-    constexpr double SUCCESS_SHARE = 1.0 / 6;
+    constexpr double SUCCESS_SHARE = 0.1;
     constexpr std::int64_t MIN_PAUSE_MS = 100;
     constexpr std::int64_t MIN_LONG_POLL_MS = 100;
     constexpr std::int64_t REMOVAL_GRACE_MS = 2'000;
--- a/src/directory/tests/virtualdirectory.h
+++ b/src/directory/tests/virtualdirectory.h
@@ -282,6 +282,9 @@
     auto call(call_state made) -> void
     {
         m_calls.push_back(m_nowMs);
+        if (m_nowMs > m_answeredMs) {
+            m_connection = connection_state::none;
+        }
         made.startedMs = m_nowMs;
         m_call = made;
         const auto cut = isIn(service_trouble::path_cut);
@@ -337,6 +340,7 @@
     }
     auto deliver(const call_state &ended) -> void
     {
+        m_answeredMs = m_nowMs;
         m_generation += m_scenario.alwaysRestored ? 1 : 0;
         if (ended.kind == directory_call::list) {
             published_page<int> page{.revision = m_data.revision, .generation = m_generation};
@@ -373,6 +377,7 @@
     std::uint64_t m_generation = 1;
     connection_state m_connection = connection_state::none;
     std::optional<call_state> m_call;
+    std::int64_t m_answeredMs = NEVER;
     std::vector<std::int64_t> m_calls;
     std::optional<std::int64_t> m_seenMs;
     list_watch<int, virtual_clock_source, virtual_directory> m_feed;
--- a/src/framework/global/retryschedule.h
+++ b/src/framework/global/retryschedule.h
@@ -16,18 +16,17 @@
     std::int64_t minRetryUs = 150 * US_PER_MS;
     std::int64_t maxRetryUs = 400 * US_PER_MS;
     std::int64_t maxBackoffUs = 400 * US_PER_MS;
-    /// Longest time from the moment at which the dependency may have come back to the next call.
-    /// The time that a failed call took counts: see retry_schedule.
+    /// Longest time from the start of a failed call to the next call.
     std::int64_t maxReturnUs = 2'500 * US_PER_MS;
 };
 
 /// Decides when a dependency is called again after failures.
 ///
-/// A dependency that has come back is noticed only by the next call. It may have come back as early
-/// as the start of the call that failed, or, if that was the first one to fail, right after the
-/// answer before it: the connection may have died since. The pause is shortened so that the next
-/// call starts within `maxReturnUs` of that moment. This holds as long as each call, together with
-/// the pause before it if the dependency had answered, ends within `maxReturnUs`. Not thread safe.
+/// A dependency that has come back is noticed only by the next call, and it may have come back
+/// right after the start of the call that failed. So the pause is shortened by the time that the
+/// failed call took, and the next call starts within `maxReturnUs` of the return. Precondition:
+/// calls end sooner than that, and each uses a connection that was known to be alive when it
+/// started. Not thread safe.
 class retry_schedule
 {
 public:
@@ -46,9 +45,8 @@
     /// Returns when to call again.
     auto onFailed(time_us now, random_source &random) -> time_us
     {
-        const auto mayBeBackSince = m_failures == 0 ? m_answeredAt : m_calledAt;
         ++m_failures;
-        const auto latest = std::max(now, mayBeBackSince + m_options.maxReturnUs);
+        const auto latest = std::max(now, m_calledAt + m_options.maxReturnUs);
         return std::min(now + backoffUs(random), latest);
     }
     /// Returns when to call again after an answer that could not be used.
