Directory: a process that started while the store was silent never read it

Cause: moved the time limit of a call from the client of the store into list_watch, whose timer directory_duty sets after every event, but not after the first calls. If these were not answered, nothing gave them up. Change: the timer is set after the first calls too. Evidence: the end-to-end case silentstart failed before the fix (no call failed within 8 s of the start) and passes. The model in directoryreturntests.cpp asks list_watch itself for its next timer, so it could not see this.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -74,6 +74,7 @@
         boost::asio::post(m_worker.context(), [this] {
             m_configuration.start();
             m_servers.start();
+            scheduleTimer();
         });
         m_worker.start();
     }
