--- a/src/directory/tests/virtualdirectory.h
+++ b/src/directory/tests/virtualdirectory.h
@@ -282,6 +282,7 @@
     auto call(call_state made) -> void
     {
         m_calls.push_back(m_nowMs);
+        // Only a call that follows an answer at once uses its connection: see directory_source.
         if (m_nowMs > m_answeredMs) {
             m_connection = connection_state::none;
         }
