--- a/src/directory/tests/directoryreturntests.cpp
+++ b/src/directory/tests/directoryreturntests.cpp
@@ -92,11 +92,11 @@
 auto checkReturns(std::initializer_list<service_return> returns, auto &&addChanges) -> void
 {
     for (const auto &bounds : BOUNDS) {
-        for (const auto &[kind, name] : serviceTroubleNames) {
+        for (const auto &trouble : serviceTroubleNames) {
             for (const auto comesBack : returns) {
-                const auto late = playPhases(kind, comesBack, bounds, addChanges);
+                const auto late = playPhases(trouble.value, comesBack, bounds, addChanges);
                 CAPTURE(bounds.contactMs);
-                CAPTURE(name);
+                CAPTURE(trouble.name);
                 CAPTURE(nameOf(comesBack));
                 CAPTURE(late.worst);
                 CHECK(late.worstMs <= 0);
