--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -595,6 +595,8 @@
              {"first_event_ms", request->firstEventUs / US_PER_MS},
              {"longest_pause_ms", request->longestPauseUs / US_PER_MS},
              {"moves", static_cast<std::int64_t>(request->moves)},
+             {"end", std::string(nameOf(completed.end))},
+             {"stop_ordered", std::int64_t{request->run.stopOrdered}},
              {"took_ms", (m_clock.now() - request->openedAt) / US_PER_MS}});
         m_sink.observe(latency_kind::longest_pause, request->longestPauseUs);
         m_placer.onResponse(*request, request->bytesDelivered);
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -261,11 +261,28 @@
     std::uint64_t milliRateLimit = 0;
 };
 
+/// What told that a response is complete.
+enum class response_end {
+    /// Its length, its last chunk, or the lack of a body.
+    framing,
+    /// Nothing but the end of the connection, which a server also closes when it gives up a response.
+    connection_close
+};
+inline constexpr std::array responseEndNames{
+    enum_name<response_end>{response_end::framing, "framing"},
+    enum_name<response_end>{response_end::connection_close, "connection_close"},
+};
+constexpr auto namesOf(response_end) -> const auto &
+{
+    return responseEndNames;
+}
+
 struct response_received
 {
     std::uint64_t exchangeId = 0;
     response_head head;
     std::string body;
+    response_end end = response_end::framing;
 };
 struct stream_begun
 {
@@ -279,10 +296,11 @@
     /// Their memory, until the caller's connection has them.
     byte_lease held;
 };
-/// The stream ended normally.
+/// The stream ended without an error.
 struct stream_completed
 {
     std::uint64_t exchangeId = 0;
+    response_end end = response_end::framing;
 };
 /// The exchange ended without a complete response.
 struct exchange_failed
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -78,6 +78,8 @@
     std::optional<kv_copy> copy;
     /// Whether the response of this server has begun.
     bool begun = false;
+    /// The server was ordered to stop this run, so that it resumes elsewhere.
+    bool stopOrdered = false;
     /// Events with an id received, from servers before a move too, and whether they are so many
     /// that the run does not crash servers.
     std::uint64_t events = 0;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -298,6 +298,7 @@
         auto &move = *request.move;
         move.copyId = ++m_lastCopyId;
         move.stage = stop ? move_stage::stopping : move_stage::copying;
+        request.run.stopOrdered = request.run.stopOrdered || stop;
         m_requestByCopyId.emplace(move.copyId, request.number);
         m_host.toServer(copy_run{.copyId = move.copyId,
                                  .source = request.run.server,
@@ -387,6 +388,14 @@
         if (!done.handle.empty()) {
             move.handle = done.handle;
         }
+        if (done.outcome != copy_outcome::copied) {
+            m_host.log(log_event::request_moving, request,
+                       {{"outcome", std::string("final_copy_failed")},
+                        {"server", request.run.serverId},
+                        {"target", move.targetId},
+                        {"copy", std::string(nameOf(done.outcome))},
+                        {"source_ended", std::int64_t{move.sourceEnded}}});
+        }
         switch (done.outcome) {
         case copy_outcome::copied:
             move.stage = move_stage::stopped;
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -581,14 +581,17 @@
             exchange.error = make_error_code(upstream_error::empty_stream);
         }
         const auto error = exchange.error ? exchange.error : outcome.error;
+        const auto end
+            = outcome.endedByClose ? response_end::connection_close : response_end::framing;
         if (error) {
             publish(exchange_failed{.exchangeId = id, .phase = outcome.phase, .error = error});
         } else if (exchange.streaming) {
-            publish(stream_completed{id});
+            publish(stream_completed{.exchangeId = id, .end = end});
         } else {
             publish(response_received{.exchangeId = id,
                                       .head = std::move(exchange.head),
-                                      .body = std::move(exchange.body)});
+                                      .body = std::move(exchange.body),
+                                      .end = end});
         }
     }
     auto publish(server_event event) -> void
