--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -265,7 +265,8 @@
 enum class response_end {
     /// Its length, its last chunk, or the lack of a body.
     framing,
-    /// Nothing but the end of the connection, which a server also closes when it gives up a response.
+    /// Nothing but the end of the connection, which a server also closes when it gives up a
+    /// response.
     connection_close
 };
 inline constexpr std::array responseEndNames{
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -4,6 +4,7 @@
 #include "framework/http/requestreader.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -41,6 +42,17 @@
     std::uint32_t refusalsInRow = 1'000;
 };
 
+/// What tells a client that a streamed response is complete.
+enum class stream_framing { chunked, connection_close };
+inline constexpr std::array streamFramingNames{
+    enum_name<stream_framing>{stream_framing::chunked, "chunked"},
+    enum_name<stream_framing>{stream_framing::connection_close, "connection_close"},
+};
+constexpr auto namesOf(stream_framing) -> const auto &
+{
+    return streamFramingNames;
+}
+
 template <typename App>
 class http_server;
 
@@ -98,8 +110,9 @@
             });
     }
 
-    /// Begins a chunked response. If a response has begun, closes the connection instead.
-    auto startStream(const std::vector<http_header> &headers) -> void
+    /// Begins a response of unknown length. If a response has begun, closes the connection instead.
+    auto startStream(const std::vector<http_header> &headers,
+                     stream_framing framing = stream_framing::chunked) -> void
     {
         if (m_streaming || m_writing) {
             close();
@@ -113,8 +126,10 @@
             m_head.insert(header.name, header.value);
         }
         limitKeepAlive();
+        m_framing = framing;
+        m_keepAlive = m_keepAlive && framing == stream_framing::chunked;
         m_head.keep_alive(m_keepAlive);
-        m_head.chunked(true);
+        m_head.chunked(framing == stream_framing::chunked);
         m_serializer.emplace(m_head);
         m_writing = true;
         m_streamEnded = false;
@@ -439,7 +454,7 @@
         }
         if (m_pending.empty()) {
             if (m_streamEnded) {
-                writeLastChunk();
+                endStream();
             }
             return;
         }
@@ -447,13 +462,16 @@
         std::swap(m_inFlight, m_pending);
         m_writing = true;
         m_stream.expires_after(m_server.limits().writeTimeout);
-        boost::asio::async_write(
-            m_stream,
-            boost::beast::http::make_chunk(
-                boost::asio::const_buffer(m_inFlight.data(), m_inFlight.size())),
-            [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
-                self->onChunkWritten(error);
-            });
+        const boost::asio::const_buffer bytes(m_inFlight.data(), m_inFlight.size());
+        const auto onWritten
+            = [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
+                  self->onChunkWritten(error);
+              };
+        if (m_framing == stream_framing::chunked) {
+            boost::asio::async_write(m_stream, boost::beast::http::make_chunk(bytes), onWritten);
+        } else {
+            boost::asio::async_write(m_stream, bytes, onWritten);
+        }
     }
     auto onChunkWritten(boost::beast::error_code error) -> void
     {
@@ -469,10 +487,14 @@
         }
         flush();
     }
-    auto writeLastChunk() -> void
+    auto endStream() -> void
     {
-        m_writing = true;
         stopWatching();
+        if (m_framing == stream_framing::connection_close) {
+            onResponseWritten({});
+            return;
+        }
+        m_writing = true;
         boost::asio::async_write(
             m_stream, boost::beast::http::make_chunk_last(),
             [self = this->shared_from_this()](boost::beast::error_code error, std::size_t) {
@@ -566,6 +588,7 @@
     /// A chunked response has begun and is not complete.
     bool m_streaming = false;
     bool m_streamEnded = false;
+    stream_framing m_framing = stream_framing::chunked;
     bool m_left = false;
 };
 
