A stream whose run was ordered to stop is not complete by its close alone

Callers got a part of a stream as a complete answer when its server was leaving and ended its streams with the connection alone.

Cause: the entry took any close of such a stream for its end, before the mover was asked. A server that is ordered to stop a run closes the stream without its end, so one signal had two meanings. The class of fault: success is inferred from the lack of a further sign, while an order of our own produces the same.

Change: the order is remembered with the run, also after the move has been given up. From then on only the framing of the stream shows that it is complete. A close goes the way of a broken stream: the run resumes at the target or at its source, or anew where its route allows, or the caller's connection is cut.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -581,6 +581,11 @@
         if (!request) {
             return;
         }
+        if (request->run.stopOrdered && completed.end == response_end::connection_close) {
+            endExchange(*request);
+            onStoppedRunEnded(*request);
+            return;
+        }
         m_mover.abandon(*request);
         if (request->awaitsContinuation()) {
             onUnusableContinuation(*request, "no_events");
@@ -603,6 +608,22 @@
         toCaller(*request, end_response_stream{.callerId = request->callerId});
         close(*request);
     }
+    /// Handles the end of a run that was ordered to stop, unless the framing of its stream shows
+    /// that it is complete: a stopped run and a finished one close their connection alike, whatever
+    /// became of the order.
+    auto onStoppedRunEnded(request_state &request) -> void
+    {
+        if (m_mover.onSourceEnded(request)) {
+            return;
+        }
+        log(log_event::request_retried, request,
+            {{"server", request.run.serverId},
+             {"cause", std::string("stopped")},
+             {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        if (!mayRetry(request) || !retry(request, "stopped")) {
+            abortStream(request, failure::backend_server_lost);
+        }
+    }
     /// Handles a run that does not continue the stream of the one before it: events in between are
     /// missing, or it ended without any. Whether the stream is complete is unknown.
     auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
@@ -622,6 +643,10 @@
         }
         const auto notRun = failed.phase == fetch_phase::connecting;
         endExchange(*request);
+        if (request->run.stopOrdered) {
+            onStoppedRunEnded(*request);
+            return;
+        }
         if (m_mover.onSourceEnded(*request)) {
             return;
         }
