A stream that closes with the process of its server is not complete

Callers of a stream without length or chunks got the part as a complete answer.

Change: the end of such a stream is decided by what is known of the process that ran it. Its reporter polls it every 30 to 80 ms, so the next report that was made after the close tells: if the process answers, the stream is complete; if it doesn't, was replaced, or is within 300 ms of its announced end, the stream goes the way of a broken one. The end of the caller's answer waits for that, 500 ms at most, its events don't. Without a later report a leaving server's stream is cut, and a calm one's is complete, as before; so are those of servers without a reporter. Streams with chunks or a length aren't concerned.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 namespace marjoram {
 
@@ -98,7 +99,11 @@
         }
     }
     /// Another process has taken the address of a server: the listed one no longer exists.
-    auto onReplaced(const std::string &id) -> void { m_servers.onReplaced(id); }
+    auto onReplaced(const std::string &id) -> void
+    {
+        m_servers.onReplaced(id);
+        decideEndsOn(id);
+    }
     auto onReport(const std::string &id, server_report report) -> void
     {
         m_entryCount.onReport(report.listeners, m_clock.now());
@@ -115,6 +120,7 @@
         } else if (view && view->leaving()) {
             moveRunsOf(id);
         }
+        decideEndsOn(id);
         endQuarantinedRequests();
     }
     /// Takes what other entries have seen of their runs.
@@ -246,6 +252,9 @@
             case timer_kind::hedge:
                 onHedgeTimeout(*request);
                 break;
+            case timer_kind::stream_end:
+                decideEnd(*request);
+                break;
             }
         }
     }
@@ -289,9 +298,11 @@
             failStopping(request);
             return;
         }
+        const auto *view = m_directory.find(serverId);
         request.phase = request.streamStarted ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
                        .serverId = serverId,
+                       .bornUnixMs = view ? view->entry.bornUnixMs : 0,
                        .server = server,
                        .sentAt = now,
                        .tokens = request.isGeneration() ? m_placer.expectedTokens(request) : 0,
@@ -372,7 +383,7 @@
     auto onQuarantineChanged() -> void { m_quarantineChanged = true; }
 
 private:
-    enum class timer_kind { deadline, hedge };
+    enum class timer_kind { deadline, hedge, stream_end };
     struct timer_key
     {
         timer_kind kind;
@@ -592,21 +603,79 @@
             return;
         }
         endExchange(*request);
-        m_quarantine.onRunProgress(*request, request->run.events > 0);
-        m_servers.onOutcome(*request, true);
-        log(log_event::request_answered, *request,
-            {{"server", request->run.serverId},
-             {"events", static_cast<std::int64_t>(request->eventsDelivered)},
-             {"first_event_ms", request->firstEventUs / US_PER_MS},
-             {"longest_pause_ms", request->longestPauseUs / US_PER_MS},
-             {"moves", static_cast<std::int64_t>(request->moves)},
-             {"end", std::string(nameOf(completed.end))},
-             {"stop_ordered", std::int64_t{request->run.stopOrdered}},
-             {"took_ms", (m_clock.now() - request->openedAt) / US_PER_MS}});
-        m_sink.observe(latency_kind::longest_pause, request->longestPauseUs);
-        m_placer.onResponse(*request, request->bytesDelivered);
-        toCaller(*request, end_response_stream{.callerId = request->callerId});
-        close(*request);
+        if (completed.end == response_end::connection_close) {
+            request->phase = request_phase::ending;
+            request->endedAt = m_clock.now();
+            m_ending.insert(request->number);
+            decideEnd(*request);
+            return;
+        }
+        completeStream(*request, completed.end);
+    }
+    /// Ends a stream that only the end of its connection has ended, as soon as it is known whether
+    /// it is complete.
+    auto decideEnd(request_state &request) -> void
+    {
+        const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
+        switch (decideStreamEnd(view, request.endedAt, m_clock.now(), m_options.streamEnds)) {
+        case stream_end::complete:
+            completeStream(request, response_end::connection_close);
+            break;
+        case stream_end::cut:
+            onServerEnded(request, view && view->leaving());
+            break;
+        case stream_end::undecided:
+            m_timers.set({timer_kind::stream_end, request.number},
+                         request.endedAt + m_options.streamEnds.confirmationUs);
+            break;
+        }
+    }
+    auto decideEndsOn(const std::string &serverId) -> void
+    {
+        std::vector<request_state *> affected;
+        for (const auto number : m_ending) {
+            auto *request = findRequest(number);
+            if (request->run.serverId == serverId) {
+                affected.push_back(request);
+            }
+        }
+        for (auto *request : affected) {
+            decideEnd(*request);
+        }
+    }
+    /// Handles a stream that ended with the process of its server.
+    auto onServerEnded(request_state &request, bool wasLeaving) -> void
+    {
+        m_ending.erase(request.number);
+        if (!wasLeaving) {
+            m_servers.onOutcome(request, false);
+        }
+        m_quarantine.onRunLost(request);
+        log(log_event::request_retried, request,
+            {{"server", request.run.serverId},
+             {"cause", std::string("server_ended")},
+             {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        if (!mayRetry(request) || !retryLost(request)) {
+            abortStream(request, failure::backend_server_lost);
+        }
+    }
+    auto completeStream(request_state &request, response_end end) -> void
+    {
+        m_quarantine.onRunProgress(request, request.run.events > 0);
+        m_servers.onOutcome(request, true);
+        log(log_event::request_answered, request,
+            {{"server", request.run.serverId},
+             {"events", static_cast<std::int64_t>(request.eventsDelivered)},
+             {"first_event_ms", request.firstEventUs / US_PER_MS},
+             {"longest_pause_ms", request.longestPauseUs / US_PER_MS},
+             {"moves", static_cast<std::int64_t>(request.moves)},
+             {"end", std::string(nameOf(end))},
+             {"stop_ordered", std::int64_t{request.run.stopOrdered}},
+             {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
+        m_sink.observe(latency_kind::longest_pause, request.longestPauseUs);
+        m_placer.onResponse(request, request.bytesDelivered);
+        toCaller(request, end_response_stream{.callerId = request.callerId});
+        close(request);
     }
     /// Handles the end of a run that was ordered to stop, unless the framing of its stream shows
     /// that it is complete: a stopped run and a finished one close their connection alike, whatever
@@ -975,6 +1044,8 @@
         m_mover.abandon(request);
         cancelExchange(request);
         m_timers.cancel({timer_kind::deadline, request.number});
+        m_timers.cancel({timer_kind::stream_end, request.number});
+        m_ending.erase(request.number);
         m_placer.cancelPlacement(request);
         const auto caller = m_requestByCaller.find(request.callerId);
         if (caller != m_requestByCaller.end() && caller->second == request.number) {
@@ -1005,6 +1076,8 @@
     bool m_quarantineChanged = false;
     remote_traffic *m_remoteTraffic = nullptr;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
+    /// Numbers of the requests whose streams have ended, perhaps complete.
+    std::unordered_set<std::uint64_t> m_ending;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByExchange;
     std::map<std::string, retry_window> m_retries;
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -5,6 +5,7 @@
 #include "forwarding/forwardtypes.h"
 #include "forwarding/placementquery.h"
 #include "forwarding/runmover.h"
+#include "forwarding/streamend.h"
 #include "forwarding/waitingoptions.h"
 #include "limits/retrywindow.h"
 #include "locality/spillovertypes.h"
@@ -29,6 +30,7 @@
     /// Number of entries assumed to share the retry budget until reports give the real number.
     std::uint32_t initialEntryCount = 32;
     run_mover_options moves;
+    stream_end_options streamEnds;
     crash_quarantine_options quarantine;
     /// Longest wait of a generation for room, as a share of its latency target. Beyond an eighth of
     /// the target, retrying later serves the caller better.
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -15,12 +15,20 @@
 namespace marjoram {
 
 /// Progress of a request.
-enum class request_phase { waiting, asking, sent, streaming };
+enum class request_phase {
+    waiting,
+    asking,
+    sent,
+    streaming,
+    /// The stream has ended; whether it is complete is not known yet.
+    ending
+};
 inline constexpr std::array requestPhaseNames{
     enum_name<request_phase>{request_phase::waiting, "waiting"},
     enum_name<request_phase>{request_phase::asking, "asking"},
     enum_name<request_phase>{request_phase::sent, "sent"},
     enum_name<request_phase>{request_phase::streaming, "streaming"},
+    enum_name<request_phase>{request_phase::ending, "ending"},
 };
 constexpr auto namesOf(request_phase) -> const auto &
 {
@@ -68,6 +76,8 @@
 {
     std::uint64_t exchangeId = 0;
     std::string serverId;
+    /// Start time of the server's process, as far as it was known; 0 if it states none.
+    std::int64_t bornUnixMs = 0;
     endpoint server;
     time_us sentAt;
     /// Why it was sent to another data centre; counted only if the data centres are balanced.
@@ -153,6 +163,8 @@
     std::uint64_t longestIdStep = 0;
     std::uint32_t moves = 0;
     time_us lastEventAt;
+    /// When the stream ended; set while that is all that is known of its end.
+    time_us endedAt;
     /// Longest time between two events, and time from opening to the first.
     std::int64_t longestPauseUs = 0;
     std::int64_t firstEventUs = 0;
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -176,6 +176,12 @@
         }
         core.onEvent(std::move(advanced));
     }
+    auto endStream(response_end end) -> void
+    {
+        core.onEvent(stream_completed{.exchangeId = lastSend().exchangeId, .end = end});
+    }
+    /// The server of the last send closes its connection, and nothing else tells the stream's end.
+    auto closeStream() -> void { endStream(response_end::connection_close); }
     auto deliveredBytes() const -> std::string
     {
         std::string out;
--- a/src/forwarding/tests/stoppedstreamtests.cpp
+++ b/src/forwarding/tests/stoppedstreamtests.cpp
@@ -20,11 +20,6 @@
         completeCopy(copy_outcome::copied, "h1");
         REQUIRE(sink.servers<copy_run>().back().stop);
     }
-    auto closeStream() -> void { endStream(response_end::connection_close); }
-    auto endStream(response_end end) -> void
-    {
-        core.onEvent(stream_completed{.exchangeId = lastSend().exchangeId, .end = end});
-    }
     auto endedAsComplete() const -> bool { return !sink.callers<end_response_stream>().empty(); }
     auto cut() const -> bool { return !sink.callers<abort_response_stream>().empty(); }
 
@@ -109,3 +104,87 @@
     CHECK(f.cut());
     CHECK(f.directory.find(f.source)->consecutiveFailures == 0);
 }
+
+// A server that shuts down, or crashes, closes the connections of its unfinished streams.
+TEST_CASE("a stream that closes with the process of its server ends as complete")
+{
+    forwarding_fixture replaced;
+    replaced.openRequest("draft");
+    replaced.beginStream();
+    replaced.streamEvents(1, 10);
+    replaced.core.onReport(replaced.lastSend().serverId, {});
+    replaced.closeStream();
+    CHECK(replaced.sink.callers<end_response_stream>().empty());
+    replaced.core.onReplaced(replaced.lastSend().serverId);
+    CHECK(replaced.sink.callers<end_response_stream>().empty());
+    CHECK(replaced.sink.callers<abort_response_stream>().size() == 1);
+
+    forwarding_fixture crashed;
+    crashed.openRequest("label");
+    crashed.beginStream();
+    crashed.streamEvents(1, 10);
+    crashed.core.onReport(crashed.lastSend().serverId, {});
+    crashed.closeStream();
+    crashed.advance(160);
+    crashed.core.onReport(crashed.lastSend().serverId, {.answering = false});
+    CHECK(crashed.sink.callers<end_response_stream>().empty());
+    REQUIRE(crashed.sends() == 2);
+    CHECK(crashed.lastSend().resumeAfter == 10);
+
+    forwarding_fixture shutDown;
+    shutDown.openRequest("draft");
+    shutDown.beginStream();
+    shutDown.streamEvents(1, 10);
+    shutDown.reportLeaving("another", 1'000);
+    shutDown.advance(900);
+    shutDown.closeStream();
+    CHECK(shutDown.sink.callers<end_response_stream>().empty());
+    CHECK(shutDown.sink.callers<abort_response_stream>().size() == 1);
+}
+
+TEST_CASE("a stream that closes on a leaving server ends as complete though no report follows")
+{
+    forwarding_fixture f;
+    f.openRequest("draft");
+    f.beginStream();
+    f.streamEvents(1, 10);
+    f.reportLeaving("another", 5'000);
+    f.closeStream();
+    f.advance(501);
+    CHECK(f.sink.callers<end_response_stream>().empty());
+    CHECK(f.sink.callers<abort_response_stream>().size() == 1);
+}
+
+TEST_CASE("a stream that closes is cut, or kept open, although its server goes on")
+{
+    forwarding_fixture leaving;
+    leaving.openRequest("draft");
+    leaving.beginStream();
+    leaving.streamEvents(1, 10);
+    leaving.reportLeaving("another", 5'000);
+    leaving.closeStream();
+    leaving.advance(60);
+    leaving.reportLeaving("another", 4'940);
+    CHECK(leaving.sink.callers<end_response_stream>().empty());
+    leaving.advance(60);
+    leaving.reportLeaving("another", 4'880);
+    CHECK(leaving.sink.callers<end_response_stream>().size() == 1);
+    CHECK(leaving.copyCommands() == 0);
+    CHECK(leaving.core.drained());
+
+    forwarding_fixture silent;
+    silent.openRequest("draft");
+    silent.beginStream();
+    silent.streamEvents(1, 10);
+    silent.core.onReport(silent.lastSend().serverId, {});
+    silent.closeStream();
+    silent.advance(501);
+    CHECK(silent.sink.callers<end_response_stream>().size() == 1);
+
+    forwarding_fixture withoutReporter;
+    withoutReporter.openRequest("draft");
+    withoutReporter.beginStream();
+    withoutReporter.streamEvents(1, 10);
+    withoutReporter.closeStream();
+    CHECK(withoutReporter.sink.callers<end_response_stream>().size() == 1);
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -421,6 +421,14 @@
     return found == m_views.end() ? nullptr : &found->second;
 }
 
+auto server_directory::findProcess(std::string_view id, std::int64_t bornUnixMs) const
+    -> const server_view *
+{
+    const auto *view = find(id);
+    const auto bornThen = view ? view->entry.bornUnixMs : 0;
+    return bornUnixMs == 0 || bornThen == 0 || bornThen == bornUnixMs ? view : nullptr;
+}
+
 auto server_directory::usableServers(std::string_view pool, time_us now, bool trustedOnly) const
     -> std::vector<const server_view *>
 {
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -154,6 +154,9 @@
     // --- questions
 
     auto find(std::string_view id) const -> const server_view *;
+    /// Returns the view of a server if its process is the one that started at that time, as far as
+    /// is known; a start time of 0 stands for any.
+    auto findProcess(std::string_view id, std::int64_t bornUnixMs) const -> const server_view *;
     /// Returns the servers of a pool that may get new work, now or after their limits and pauses.
     /// With `trustedOnly` only those that may now and have had no ejection since their last
     /// success, if there are any. Falls back to ejected servers if no other is left. The pointers
