Entries know the software version of servers, and which stream a caller takes up

Read and logged, no decision changed: request_sent has the version and, for a stream that a caller takes up, the request whose response brought its first event; server_joined has version and start. With this the log tells moves, repeats and take-ups apart.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -449,7 +449,12 @@
             {"slowdown_percent",
              static_cast<std::int64_t>(view && view->report ? view->report->slowdownPercent : 0)},
             {"sends", static_cast<std::int64_t>(request.sends)},
-            {"resumed", std::int64_t{resumes}}};
+            {"resumed", std::int64_t{resumes}},
+            {"version", view ? view->entry.softwareVersion.value_or("unknown") : "unknown"}};
+        const auto &resumedId = request.request->generation.resumedRequestId;
+        if (!resumedId.empty()) {
+            fields.push_back({"resumes", resumedId});
+        }
         if (const auto stopAt = m_stop.stopAt()) {
             fields.push_back({"stop_in_ms", msUntil(*stopAt)});
             fields.push_back({"expected_ms", msUntil(m_stop.assumedEnd(request, m_clock.now()))});
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -36,6 +36,8 @@
     std::vector<prompt_part> parts;
     /// Id of the last event received in an earlier response.
     std::optional<std::uint64_t> resumeAfter;
+    /// Id of the request whose response brought the first event; empty if the caller names none.
+    std::string resumedRequestId;
 };
 
 /// A request as received from a caller. Immutable once parsed.
--- a/src/forwarding/serverobserver.h
+++ b/src/forwarding/serverobserver.h
@@ -79,7 +79,9 @@
                    {{"server", entry.id},
                     {"source", std::string(source)},
                     {"pool", entry.pool},
-                    {"address", toText(entry.address)}});
+                    {"address", toText(entry.address)},
+                    {"version", entry.softwareVersion.value_or("unknown")},
+                    {"born_unix_ms", entry.bornUnixMs}});
     }
     auto logLeaving(const std::string &id, std::string_view source) -> void
     {
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -23,6 +23,22 @@
     return serverStateNames;
 }
 
+/// The software that a server process runs. What one version has begun, only the same version of
+/// the same pool can continue.
+struct server_software
+{
+    std::string pool;
+    std::string version;
+
+    friend auto operator==(const server_software &, const server_software &) -> bool = default;
+    template <typename Self, typename Visitor>
+    static auto visitFields(Self &self, Visitor &&visit) -> void
+    {
+        visit(self.pool);
+        visit(self.version);
+    }
+};
+
 /// A published backend server.
 struct server_entry
 {
@@ -37,6 +53,9 @@
     std::int64_t warmUpLeftMs = 0;
     /// Start time of the process; tells a restarted server from its predecessor with the same id.
     std::int64_t bornUnixMs = 0;
+    /// Version of the server's software; empty if the entry states none, unset if it is not known
+    /// whether it states one.
+    std::optional<std::string> softwareVersion;
 
     friend auto operator==(const server_entry &, const server_entry &) -> bool = default;
 };
