A stream goes on only at servers of the software version that began it

Callers got streams of which one part came from one version of a server's software and the rest from another.

Cause: nothing that chooses a server for a stream that has begun knew the version. The class of fault: compatibility that one server has with another was taken for granted within a pool.

Change: the entry keeps the version of each server with its process, also of those that are gone, and one filter, continuation_filter, is passed by placement, queues of reporters, grants, moves, final copies, resumption at a source and repeats. It allows servers of the same pool and version whose process is known to be the listed one: by a report of the last second, or, without a reporter, by a list that is not out of reach. A stream whose first server was uncertain goes on nowhere. If no server of the version is left, the stream is cut at once, and a request that has not run is refused without a time to return. Pools whose servers state no version are served as before. Streams that callers take up are not covered yet.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/continuationfilter.h"
 #include "forwarding/crashquarantine.h"
 #include "forwarding/entrycount.h"
 #include "forwarding/forwardingoptions.h"
@@ -298,6 +299,10 @@
             failStopping(request);
             return;
         }
+        if (!copy && !streamFilterOf(request).allows(serverId)) {
+            onPlacementFailed(request);
+            return;
+        }
         const auto *view = m_directory.find(serverId);
         request.phase = request.streamStarted ? request_phase::streaming : request_phase::sent;
         request.run = {.exchangeId = ++m_lastExchangeId,
@@ -339,8 +344,11 @@
     {
         const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
         const auto ran = request.attempts > 0 ? run_state::unknown : run_state::not_run;
+        const auto outlook = streamFilterOf(request).outlook();
         if (m_directory.poolSize(pool) == 0 || m_directory.allLeaving(pool)) {
             failRequest(request, failure::no_backend_server, ran);
+        } else if (outlook == continuation::none) {
+            failRequest(request, failure::software_version_gone, ran);
         } else if (const auto until = m_directory.unavailableUntil(pool, m_clock.now())) {
             failRequest(request, failure::rate_limited, ran, until);
         } else {
@@ -357,7 +365,9 @@
     auto resumeAt(request_state &request, const std::string &serverId, const kv_copy &copy) -> void
     {
         cancelExchange(request);
-        if (m_directory.isEvacuated(serverId)) {
+        const continuation_filter filter(m_directory, request, continued_part::memory,
+                                         m_clock.now());
+        if (m_directory.isEvacuated(serverId) || !filter.allows(serverId)) {
             resumeElsewhere(request, copy);
             return;
         }
@@ -569,6 +579,7 @@
             return;
         }
         if (!merged.bytes.empty()) {
+            bindOrigin(*request);
             recordEventTimes(*request);
             request->bytesDelivered += merged.bytes.size();
             recordRemote(*request, 0, merged.bytes.size());
@@ -577,6 +588,24 @@
                                                     .held = std::move(advanced.held)});
         }
     }
+    /// The stream has begun: from now on it may go on only at servers of the same software.
+    auto bindOrigin(request_state &request) -> void
+    {
+        if (request.origin) {
+            return;
+        }
+        const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
+        // A list that lags behind may name the predecessor of the process that answered.
+        const auto certain = view && m_directory.isProcessCurrent(*view, m_clock.now());
+        request.origin = certain
+                             ? run_origin{.software = m_directory.softwareOf(request.run.process()),
+                                          .process = request.run.process()}
+                             : run_origin{};
+    }
+    auto streamFilterOf(const request_state &request) const -> continuation_filter
+    {
+        return {m_directory, request, continued_part::stream, m_clock.now()};
+    }
     auto recordEventTimes(request_state &request) -> void
     {
         const auto now = m_clock.now();
@@ -783,7 +812,8 @@
                                  ? m_placer.chooseServer(request, true)
                                  : nullptr;
         log(log_event::request_moving, request,
-            {{"outcome", std::string("evacuated")},
+            {{"outcome",
+              std::string(m_directory.isEvacuated(copy.sourceId) ? "evacuated" : "other_software")},
              {"server", copy.sourceId},
              {"target", target ? target->entry.id : std::string()}});
         if (target) {
@@ -824,7 +854,8 @@
               || (kind == work_kind::generation && request.route->resumable && canResume);
         return allowed && request.attempts < request.route->attempts
                && request.sends < m_options.maxSends && request.callerId != 0
-               && !mayOutlastProcess(request);
+               && !mayOutlastProcess(request)
+               && streamFilterOf(request).outlook() == continuation::possible;
     }
     /// Retries a request whose run was lost, unless it may be what crashes servers.
     auto retryLost(request_state &request) -> bool
@@ -945,7 +976,8 @@
             return;
         }
         std::optional<std::int64_t> retryAfterMs;
-        if (ran == run_state::not_run) {
+        // No time can be told at which servers of that software are back.
+        if (ran == run_state::not_run && reason != failure::software_version_gone) {
             retryAfterMs
                 = reason == failure::draining ? m_retryDelay.drawStoppingMs(*request.route)
                   : reason == failure::overloaded
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/continuationfilter.h"
 #include "forwarding/forwardingoptions.h"
 #include "forwarding/forwardrings.h"
 #include "forwarding/placement.h"
@@ -145,7 +146,8 @@
         const auto closed = view
                             && (view->leaving() || view->pausedUntil > m_clock.now()
                                 || m_directory.isEvacuated(serverId));
-        const auto usable = !closed && !isExpired(*request);
+        const auto allowed = filterOf(*request, false).allows(serverId);
+        const auto usable = !closed && allowed && !isExpired(*request);
         if (replied.verdict == room_verdict::granted && usable) {
             useGrant(*request, replied.askId, serverId, server);
             return;
@@ -191,8 +193,8 @@
         }
         // At-most-once requests cannot be retried, so they avoid servers that have failed recently.
         const auto atMostOnce = request.route->kind == work_kind::at_most_once;
-        const auto candidates
-            = m_directory.usableServers(request.pool->name, m_clock.now(), atMostOnce);
+        auto candidates = m_directory.usableServers(request.pool->name, m_clock.now(), atMostOnce);
+        keepAllowed(candidates, filterOf(request, moving));
         const auto movedTokens = request.promptTokens() + request.producedTokens();
         const auto *source = moving ? m_directory.find(request.run.serverId) : nullptr;
         const auto failedDataCentres = dataCentresOf(request.excludedServers);
@@ -322,6 +324,19 @@
         }
         return out;
     }
+    auto filterOf(const request_state &request, bool moving) const -> continuation_filter
+    {
+        return {m_directory, request, moving ? continued_part::memory : continued_part::stream,
+                m_clock.now()};
+    }
+    static auto keepAllowed(std::vector<const server_view *> &candidates,
+                            const continuation_filter &filter) -> void
+    {
+        if (filter.isRestricting()) {
+            std::erase_if(candidates,
+                          [&](const server_view *view) { return !filter.allows(*view); });
+        }
+    }
     /// After a pause of the process other events can come before the timer of the deadline, which
     /// ends the request: it must not be sent any more.
     auto isExpired(const request_state &request) const -> bool
@@ -431,7 +446,8 @@
         const std::string_view pool = request.pool ? request.pool->name : std::string_view{};
         const auto availableAt = m_directory.unavailableUntil(pool, now);
         if (now >= *request.waitUntil || (availableAt && *availableAt > *request.waitUntil)
-            || m_directory.allLeaving(pool)) {
+            || m_directory.allLeaving(pool)
+            || filterOf(request, false).outlook() != continuation::possible) {
             m_host.onPlacementFailed(request);
             return;
         }
@@ -518,6 +534,7 @@
             return std::find(ids.begin(), ids.end(), id) != ids.end();
         };
         auto candidates = m_directory.usableServers(request.pool->name, now);
+        keepAllowed(candidates, filterOf(request, false));
         std::erase_if(candidates, [&](const server_view *view) {
             const auto &id = view->entry.id;
             const auto waitUs = m_backlog.waitAtUs(request.pool->name, id, now);
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -5,6 +5,7 @@
 #include "framework/global/clock.h"
 #include "innerprotocol/reportframes.h"
 #include "locality/spillovertypes.h"
+#include "serverviews/softwarehistory.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -96,6 +97,8 @@
     bool survivedStart = false;
     /// Events of this run that were forwarded.
     std::uint64_t forwardedEvents = 0;
+
+    auto process() const -> server_process { return {.address = server, .bornUnixMs = bornUnixMs}; }
 };
 
 /// State of asking reporters for room.
@@ -152,6 +155,9 @@
     /// It has already let others move first because it may finish before its server shuts down.
     bool deferredOnce = false;
     bool streamStarted = false;
+    /// What began the stream; set once an event has been forwarded, in this response or in an
+    /// earlier one that the caller resumes.
+    std::optional<run_origin> origin;
     std::uint64_t lastEvent = 0;
     /// The last one of the events that came first.
     std::uint64_t firstBatchEvent = 0;
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/continuationfilter.h"
 #include "forwarding/forwardrings.h"
 #include "forwarding/placement.h"
 #include "forwarding/requeststate.h"
@@ -135,8 +136,7 @@
             return;
         }
         m_timers.cancel(request->number);
-        if (replied.verdict == room_verdict::granted
-            && !m_directory.isEvacuated(request->move->targetId)) {
+        if (replied.verdict == room_verdict::granted && !isTargetClosed(*request)) {
             orderBulkCopy(*request);
             return;
         }
@@ -311,7 +311,7 @@
         const auto stage = request.move->stage;
         const auto runsAtSource = stage == move_stage::asking || stage == move_stage::copying
                                   || stage == move_stage::copied;
-        if (runsAtSource && m_directory.isEvacuated(request.move->targetId)) {
+        if (runsAtSource && isTargetClosed(request)) {
             leaveTarget(request, request.move->handle);
             return;
         }
@@ -340,7 +340,7 @@
         auto &move = *request.move;
         switch (done.outcome) {
         case copy_outcome::copied:
-            if (isPaused(move.targetId) || m_directory.isEvacuated(move.targetId)) {
+            if (isPaused(move.targetId) || isTargetClosed(request)) {
                 // The run still has its source. Once it is stopped it resumes at a paused target.
                 leaveTarget(request, done.handle);
                 break;
@@ -362,6 +362,14 @@
             break;
         }
     }
+    /// Whether the run must not go on at its target, which may have changed since it was chosen.
+    auto isTargetClosed(const request_state &request) const -> bool
+    {
+        const auto &id = request.move->targetId;
+        const continuation_filter filter(m_directory, request, continued_part::memory,
+                                         m_clock.now());
+        return m_directory.isEvacuated(id) || !filter.allows(id);
+    }
     auto isPaused(const std::string &id) const -> bool
     {
         const auto *view = m_directory.find(id);
@@ -446,7 +454,7 @@
     }
     auto resumeAtTarget(request_state &request) -> void
     {
-        if (m_directory.isEvacuated(request.move->targetId)) {
+        if (isTargetClosed(request)) {
             resumeAtSource(request);
             return;
         }
--- a/src/framework/global/failure.h
+++ b/src/framework/global/failure.h
@@ -47,6 +47,7 @@
     cancelled,
     quarantined,
     rate_limited,
+    software_version_gone,
 };
 inline constexpr std::array failureNames{
     enum_name<failure>{failure::none, "none"},
@@ -78,6 +79,7 @@
     enum_name<failure>{failure::cancelled, "cancelled"},
     enum_name<failure>{failure::quarantined, "quarantined"},
     enum_name<failure>{failure::rate_limited, "rate_limited"},
+    enum_name<failure>{failure::software_version_gone, "software_version_gone"},
 };
 constexpr auto namesOf(failure) -> const auto &
 {
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -19,6 +19,14 @@
            && known.address == entry.address;
 }
 
+/// Nullopt if it is not known which version the server has.
+auto statedSoftware(const server_entry &entry) -> std::optional<server_software>
+{
+    return entry.softwareVersion ? std::optional(
+               server_software{.pool = entry.pool, .version = *entry.softwareVersion})
+                                 : std::nullopt;
+}
+
 } // namespace
 
 auto server_directory::onServerList(const std::vector<server_entry> &entries, time_us now)
@@ -43,6 +51,9 @@
             view.cold.listedUntil = view.cold.until;
         }
         view.entry.bornUnixMs = bornUnixMs;
+        if (const auto software = statedSoftware(view.entry)) {
+            m_software.record(processOf(view.entry), *software, now);
+        }
         view.unlistedAt.reset();
         view.announced = false;
         view.listingMissedSince.reset();
@@ -467,6 +478,67 @@
     return out;
 }
 
+auto server_directory::softwareOf(const server_process &process) const
+    -> std::optional<server_software>
+{
+    if (process.bornUnixMs != 0) {
+        return m_software.find(process);
+    }
+    const auto found = std::find_if(m_views.begin(), m_views.end(), [&](const auto &named) {
+        return processOf(named.second.entry) == process && !named.second.replaced;
+    });
+    return found == m_views.end() ? std::nullopt : statedSoftware(found->second.entry);
+}
+
+auto server_directory::mayContinueAt(const run_origin &origin, const server_view &view,
+                                     time_us now) const -> bool
+{
+    const auto software = origin.software ? origin.software : softwareOf(origin.process);
+    const auto sameSoftware = software && statedSoftware(view.entry) == software;
+    const auto sameProcess = processOf(view.entry) == origin.process;
+    return (sameSoftware || sameProcess) && isProcessCurrent(view, now);
+}
+
+auto server_directory::continuationOf(const run_origin &origin, time_us now) const -> continuation
+{
+    const auto software = origin.software ? origin.software : softwareOf(origin.process);
+    auto out = continuation::none;
+    for (const auto &[id, view] : m_views) {
+        const auto same = (software && statedSoftware(view.entry) == software)
+                          || processOf(view.entry) == origin.process;
+        if (!same || !isUsable(view, now)) {
+            continue;
+        }
+        if (mayContinueAt(origin, view, now)) {
+            return continuation::possible;
+        }
+        out = continuation::later;
+    }
+    return out;
+}
+
+auto server_directory::statesVersions(std::string_view pool) const -> bool
+{
+    return m_software.statesVersions(pool)
+           || std::any_of(m_views.begin(), m_views.end(), [pool](const auto &named) {
+                  const auto &entry = named.second.entry;
+                  return entry.pool == pool && !entry.softwareVersion.value_or("").empty();
+              });
+}
+
+auto server_directory::isProcessCurrent(const server_view &view, time_us now) const -> bool
+{
+    if (view.replaced) {
+        return false;
+    }
+    if (view.report && now - view.reportAt < m_options.processReportMaxAgeUs) {
+        const auto born = view.report->bornUnixMs;
+        return view.report->answering
+               && (born == 0 || view.entry.bornUnixMs == 0 || born == view.entry.bornUnixMs);
+    }
+    return m_listAvailable && !view.announced;
+}
+
 auto server_directory::isEvacuated(std::string_view id) const -> bool
 {
     const auto *view = find(id);
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -4,7 +4,9 @@
 #include "manifest/routetable.h"
 #include "serverviews/evacuations.h"
 #include "serverviews/serverview.h"
+#include "serverviews/softwarehistory.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <string_view>
@@ -48,8 +50,29 @@
     double coldShareBesideReporter = 0.5;
     /// Longest time for which a server is believed to stay cold.
     std::int64_t maxColdUs = 600 * US_PER_SECOND;
+    software_history_options software;
+    /// A report that is older doesn't show that a server's process is the listed one.
+    std::int64_t processReportMaxAgeUs = 1 * US_PER_SECOND;
 };
 
+/// Whether a stream can be continued somewhere.
+enum class continuation {
+    /// A server of its software takes new work.
+    possible,
+    /// All servers of its software are out of reach, but may return.
+    later,
+    none
+};
+inline constexpr std::array continuationNames{
+    enum_name<continuation>{continuation::possible, "possible"},
+    enum_name<continuation>{continuation::later, "later"},
+    enum_name<continuation>{continuation::none, "none"},
+};
+constexpr auto namesOf(continuation) -> const auto &
+{
+    return continuationNames;
+}
+
 /// Limit of the servers of a pool while they are cold.
 struct cold_limit
 {
@@ -89,6 +112,7 @@
     /// Different seeds spread the sends of entries that share a server's limit.
     explicit server_directory(server_directory_options options, std::uint64_t seed = 0)
         : m_options(options)
+        , m_software(options.software)
         , m_random(seed)
     { }
 
@@ -166,6 +190,20 @@
     /// Returns when the first server of a pool may get a request, by limits and pauses; nullopt if
     /// one may now.
     auto unavailableUntil(std::string_view pool, time_us now) const -> std::optional<time_us>;
+    /// Returns the software of a process; nullopt if no list has stated it.
+    auto softwareOf(const server_process &process) const -> std::optional<server_software>;
+    /// Whether what the origin has begun may go on at a server: its software is the same, and what
+    /// is known of its process is recent; or it is the same process.
+    auto mayContinueAt(const run_origin &origin, const server_view &view, time_us now) const
+        -> bool;
+    /// Whether what the origin has begun can be continued by a server that takes new work.
+    auto continuationOf(const run_origin &origin, time_us now) const -> continuation;
+    /// Whether the process at a server's address is known to be the one of its entry. A list lags
+    /// behind, and may be out of reach; the server's reporter sees at once that its process is
+    /// gone.
+    auto isProcessCurrent(const server_view &view, time_us now) const -> bool;
+    /// Whether servers of a pool state the version of their software.
+    auto statesVersions(std::string_view pool) const -> bool;
     /// Whether a server is known to be in an evacuated data centre.
     auto isEvacuated(std::string_view id) const -> bool;
     /// Whether all servers of a pool are leaving or evacuated; false if it has none.
@@ -212,6 +250,7 @@
     server_directory_options m_options;
     std::map<std::string, server_view, std::less<>> m_views;
     std::map<std::string, gone_server> m_gone;
+    software_history m_software;
     evacuations m_evacuations;
     cold_limits m_coldLimits;
     std::size_t m_coldServers = 0;
