A stream that a caller resumes goes on at the software version that began it

Callers that took up a broken stream, also after all entries had been killed, were answered 200 with text of another version from there on.

Cause: the entry that gets such a request knew neither the stream nor its version, and sent it to any server of the pool. What the class of fault is here: state that lived only in the process that was killed.

Change: reporters outlive entries. An entry tells the reporter of the server and two others, chosen alike by the request's id, which software began a stream, before the first event goes out; a reporter also remembers the runs that its server lists, and learns the version of its server from the entries' requests for reports. An entry looks in its own log, then asks at most 32 reporters by the id that the caller names in its request. A delivery that an entry told of decides at once; runs decide when all have replied, or after 90 ms, unless they were at different versions. Without an answer, or without a server of the version, it is refused at once as not run (503); a time to return is told only if it may help. Pools without versions are served as before.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -41,6 +41,7 @@
         , m_placer(m_options, clock, seed + 1, directory, *this)
         , m_mover(m_options.moves, clock, directory, *this)
         , m_quarantine(m_options.quarantine, clock, seed + 3, directory, *this)
+        , m_origins(m_options.origins, clock, directory, *this)
         , m_servers(clock, directory, sink)
     {
         m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
@@ -189,8 +190,14 @@
             failStopping(request);
             return;
         }
+        if (m_origins.continuesStream(request)) {
+            m_origins.resolve(request);
+            return;
+        }
         m_placer.placeOrWait(request);
     }
+    auto onOriginAsked(const origin_asked &asked) -> void { m_origins.onAsked(asked); }
+    auto onOriginReply(const origin_replied &replied) -> void { m_origins.onReply(replied); }
     auto onCallerDisconnected(std::uint64_t callerId) -> void
     {
         const auto found = m_requestByCaller.find(callerId);
@@ -233,14 +240,16 @@
 
     auto nextTimer() const -> std::optional<time_us>
     {
-        return earliest(earliest(m_timers.next(), m_quarantine.nextTimer()),
-                        earliest(m_placer.nextTimer(), m_mover.nextTimer()));
+        return earliest(
+            earliest(earliest(m_timers.next(), m_quarantine.nextTimer()), m_origins.nextTimer()),
+            earliest(m_placer.nextTimer(), m_mover.nextTimer()));
     }
     auto onTimer() -> void
     {
         m_mover.onTimer();
         m_placer.onTimer();
         m_quarantine.onTimer();
+        m_origins.onTimer();
         while (const auto key = m_timers.popDue(m_clock.now())) {
             auto *request = findRequest(key->number);
             if (!request) {
@@ -355,6 +364,31 @@
             failRequest(request, failure::overloaded, ran);
         }
     }
+    /// The origin of the stream that a caller resumes is known: it goes on in the pool that began it.
+    auto onOriginKnown(request_state &request) -> void
+    {
+        const auto &shares = request.route->pools;
+        const auto share = std::find_if(shares.begin(), shares.end(), [&](const auto &one) {
+            return one.pool == request.origin->software->pool;
+        });
+        if (share != shares.end()) {
+            request.pool = request.table->findPool(share->pool);
+        }
+        if (share == shares.end() || streamFilterOf(request).outlook() == continuation::none) {
+            failRequest(request, failure::software_version_gone, run_state::not_run);
+            return;
+        }
+        m_placer.placeOrWait(request);
+    }
+    /// It is not known which software began the stream. A reporter that has not replied may tell when
+    /// the caller returns.
+    auto onOriginUnknown(request_state &request, bool incomplete) -> void
+    {
+        const auto retryAfterMs
+            = incomplete ? std::optional(m_retryDelay.drawMs(*request.route)) : std::nullopt;
+        failWithReason(request, failure::stream_origin_unknown, run_state::not_run, retryAfterMs);
+        close(request);
+    }
     auto findRequest(std::uint64_t number) -> request_state *
     {
         const auto found = m_requests.find(number);
@@ -579,7 +613,9 @@
             return;
         }
         if (!merged.bytes.empty()) {
-            bindOrigin(*request);
+            if (request->bytesDelivered == 0) {
+                onFirstEvent(*request);
+            }
             recordEventTimes(*request);
             request->bytesDelivered += merged.bytes.size();
             recordRemote(*request, 0, merged.bytes.size());
@@ -597,10 +633,16 @@
         const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
         // A list that lags behind may name the predecessor of the process that answered.
         const auto certain = view && m_directory.isProcessCurrent(*view, m_clock.now());
-        request.origin = certain
-                             ? run_origin{.software = m_directory.softwareOf(request.run.process()),
-                                          .process = request.run.process()}
-                             : run_origin{};
+        request.origin = run_origin{};
+        if (certain) {
+            request.origin->process = request.run.process();
+            request.origin->software = m_directory.softwareOf(request.run.process());
+        }
+    }
+    auto onFirstEvent(request_state &request) -> void
+    {
+        bindOrigin(request);
+        m_origins.onFirstEvent(request);
     }
     auto streamFilterOf(const request_state &request) const -> continuation_filter
     {
@@ -1082,6 +1124,7 @@
         cancelExchange(request);
         m_timers.cancel({timer_kind::deadline, request.number});
         m_timers.cancel({timer_kind::stream_end, request.number});
+        m_origins.cancel(request);
         m_ending.erase(request.number);
         m_placer.cancelPlacement(request);
         const auto caller = m_requestByCaller.find(request.callerId);
@@ -1107,6 +1150,7 @@
     request_placer<Placement, Clock, forwarding_core> m_placer;
     run_mover<Clock, forwarding_core> m_mover;
     crash_quarantine<Clock, forwarding_core> m_quarantine;
+    stream_origins<Clock, forwarding_core> m_origins;
     server_observer<Clock, Sink> m_servers;
     /// Server that has stated in the answer being handled that it is leaving.
     std::optional<std::string> m_statedLeaving;
--- a/src/forwarding/forwardingoptions.h
+++ b/src/forwarding/forwardingoptions.h
@@ -6,6 +6,7 @@
 #include "forwarding/placementquery.h"
 #include "forwarding/runmover.h"
 #include "forwarding/streamend.h"
+#include "forwarding/streamorigins.h"
 #include "forwarding/waitingoptions.h"
 #include "limits/retrywindow.h"
 #include "locality/spillovertypes.h"
@@ -31,6 +32,7 @@
     std::uint32_t initialEntryCount = 32;
     run_mover_options moves;
     stream_end_options streamEnds;
+    stream_origins_options origins;
     crash_quarantine_options quarantine;
     /// Longest wait of a generation for room, as a share of its latency target. Beyond an eighth of
     /// the target, retrying later serves the caller better.
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -4,6 +4,7 @@
 #include "framework/ring/bytebudget.h"
 #include "framework/ring/ring.h"
 #include "innerprotocol/reportframes.h"
+#include "origins/originlog.h"
 #include "serverviews/evacuations.h"
 #include "serverviews/serverentry.h"
 
@@ -58,8 +59,22 @@
 {
     std::vector<run_observation> observations;
 };
+/// So many reporters have been asked for the origin of a stream.
+struct origin_asked
+{
+    std::uint64_t lookupId = 0;
+    std::size_t reporters = 0;
+};
+/// A reporter's reply on the origin of a stream.
+struct origin_replied
+{
+    std::uint64_t lookupId = 0;
+    /// Where the reporter listens.
+    std::string reporter;
+    stream_origin origin;
+};
 using report_event = std::variant<server_reported, room_replied, server_announced, server_replaced,
-                                  observations_received>;
+                                  observations_received, origin_asked, origin_replied>;
 
 /// Whether the service that publishes the list of backend servers answers.
 struct list_availability_changed
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -199,8 +199,23 @@
     std::string serverId;
     std::uint64_t milliPerSecond = 0;
 };
-using reporter_command = std::variant<request_room, notify_move, share_observations,
-                                      share_rate_limit, withdraw_room_request>;
+/// Tells reporters which software began the stream of a request.
+struct share_origin
+{
+    /// Server that made the first event.
+    std::string serverId;
+    std::string requestId;
+    server_software software;
+};
+/// Asks reporters which software began the stream of a request.
+struct find_origin
+{
+    std::uint64_t lookupId = 0;
+    std::string requestId;
+};
+using reporter_command
+    = std::variant<request_room, notify_move, share_observations, share_rate_limit,
+                   withdraw_room_request, share_origin, find_origin>;
 
 /// Sends a request to a backend server.
 struct send_request
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -61,6 +61,8 @@
     {
         if (std::holds_alternative<request_room>(command)) {
             metrics.add(forwarding_metric::rooms_requested);
+        } else if (std::holds_alternative<find_origin>(command)) {
+            metrics.add(forwarding_metric::origins_requested);
         } else if (const auto *shared = std::get_if<share_observations>(&command)) {
             metrics.add(forwarding_metric::observations_shared,
                         static_cast<std::int64_t>(shared->observations.size()));
@@ -88,6 +90,10 @@
             if (failed->reason == failure::quarantined) {
                 metrics.add(forwarding_metric::quarantined);
             }
+            if (failed->reason == failure::software_version_gone
+                || failed->reason == failure::stream_origin_unknown) {
+                metrics.add(forwarding_metric::resumptions_refused);
+            }
             metrics.add(failed->ran == run_state::not_run ? forwarding_metric::refused
                                                           : forwarding_metric::failed);
         }
@@ -274,6 +280,10 @@
         m_impl->core.onReplaced(replaced->serverId);
     } else if (const auto *received = std::get_if<observations_received>(&event)) {
         m_impl->core.onObservations(received->observations);
+    } else if (const auto *asked = std::get_if<origin_asked>(&event)) {
+        m_impl->core.onOriginAsked(*asked);
+    } else if (const auto *origin = std::get_if<origin_replied>(&event)) {
+        m_impl->core.onOriginReply(*origin);
     } else {
         const auto &announced = std::get<server_announced>(event);
         m_impl->core.onAnnounced(announced.entry, announced.models);
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -16,6 +16,8 @@
     std::vector<request_room> roomRequests;
     std::vector<notify_move> notified;
     std::vector<withdraw_room_request> withdrawn;
+    std::vector<share_origin> originsShared;
+    std::vector<find_origin> originsRequested;
     std::vector<std::pair<log_event, std::string>> logged;
 
     auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
@@ -28,6 +30,10 @@
             notified.push_back(std::move(*notification));
         } else if (auto *unwanted = std::get_if<withdraw_room_request>(&command)) {
             withdrawn.push_back(std::move(*unwanted));
+        } else if (auto *shared = std::get_if<share_origin>(&command)) {
+            originsShared.push_back(std::move(*shared));
+        } else if (auto *wanted = std::get_if<find_origin>(&command)) {
+            originsRequested.push_back(std::move(*wanted));
         }
     }
     auto log(log_event event, const std::string &id, std::vector<log_field>) -> void
--- a/src/framework/global/failure.h
+++ b/src/framework/global/failure.h
@@ -48,6 +48,7 @@
     quarantined,
     rate_limited,
     software_version_gone,
+    stream_origin_unknown,
 };
 inline constexpr std::array failureNames{
     enum_name<failure>{failure::none, "none"},
@@ -80,6 +81,7 @@
     enum_name<failure>{failure::quarantined, "quarantined"},
     enum_name<failure>{failure::rate_limited, "rate_limited"},
     enum_name<failure>{failure::software_version_gone, "software_version_gone"},
+    enum_name<failure>{failure::stream_origin_unknown, "stream_origin_unknown"},
 };
 constexpr auto namesOf(failure) -> const auto &
 {
--- a/src/innerprotocol/frames.h
+++ b/src/innerprotocol/frames.h
@@ -2,6 +2,7 @@
 
 #include "framework/tracing/span.h"
 #include "generations/generationrequest.h"
+#include "innerprotocol/originframes.h"
 #include "innerprotocol/reportframes.h"
 
 #include <string>
@@ -406,6 +407,7 @@
                    call_frame, call_result_frame, load_report_frame, control_frame, claim_frame,
                    claim_reply_frame, report_request_frame, server_report_frame, room_request_frame,
                    room_reply_frame, server_news_frame, move_note_frame, run_observations_frame,
-                   observations_request_frame, rate_limit_frame, room_withdrawal_frame>;
+                   observations_request_frame, rate_limit_frame, room_withdrawal_frame,
+                   stream_origin_frame, origin_request_frame, origin_reply_frame>;
 
 } // namespace marjoram
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -13,11 +13,17 @@
 struct report_request_frame
 {
     std::string host;
+    /// Software of the backend server's process that started then, as the published list states it;
+    /// 0 if the entry doesn't know it.
+    std::int64_t bornUnixMs = 0;
+    server_software software;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
     {
         visit(self.host);
+        visit(self.bornUnixMs);
+        visit(self.software);
     }
 };
 
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -4,9 +4,11 @@
 #include "reporting/datagramsocket.h"
 
 #include "framework/global/identifiers.h"
+#include "serverviews/softwarehistory.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <set>
 #include <unordered_map>
 
@@ -27,6 +29,10 @@
 /// Requests to each reporter for the observations that it keeps; more than one, since datagrams get
 /// lost.
 constexpr std::uint32_t OBSERVATION_REQUEST_COUNT = 2;
+/// Reporters beside that of the server that learn which software began a stream, and reporters that
+/// are asked for it. Entries choose them alike by the request's id, from lists that may differ.
+constexpr std::size_t ORIGIN_KEEPER_COUNT = 2;
+constexpr std::size_t ORIGIN_REQUEST_LIMIT = 32;
 
 auto isListed(const servers_changed &changed, const std::string &serverId) -> bool
 {
@@ -67,6 +73,8 @@
         std::string serverId;
         std::int64_t bornUnixMs = 0;
         endpoint reporter;
+        /// As the published list states it; unset if it states none.
+        std::optional<server_software> software;
         std::uint64_t sequence = 0;
         std::uint32_t unansweredRequests = 0;
         std::uint32_t observationRequests = 0;
@@ -110,6 +118,7 @@
                                                .bornUnixMs = entry.bornUnixMs,
                                                .reporter = {.address = entry.address.address,
                                                             .port = options.reporterPort}};
+            state.software = statedSoftware(entry);
             if (!same) {
                 requestReport(state);
             }
@@ -131,7 +140,7 @@
         }
         reporters = std::move(kept);
     }
-    auto onDatagram(const endpoint &, frame message) -> void
+    auto onDatagram(const endpoint &from, frame message) -> void
     {
         if (const auto *report = std::get_if<server_report_frame>(&message)) {
             onReport(*report);
@@ -143,6 +152,11 @@
             metrics.add(reports_metric::observations_heard,
                         static_cast<std::int64_t>(received->observations.size()));
             reports.push(observations_received{std::move(received->observations)});
+        } else if (auto *origin = std::get_if<origin_reply_frame>(&message)) {
+            reports.push(origin_replied{
+                .lookupId = origin->lookupId,
+                .reporter = toText(from),
+                .origin = {.evidence = origin->evidence, .software = std::move(origin->software)}});
         }
     }
     auto onAnnouncement(server_news_frame announcement) -> void
@@ -198,6 +212,57 @@
             }
         }
     }
+    auto on(const share_origin &shared) -> void
+    {
+        const stream_origin_frame told{.requestId = shared.requestId, .software = shared.software};
+        sendTo(shared.serverId, told);
+        for (const auto &to : originKeepers(shared.requestId, ORIGIN_KEEPER_COUNT)) {
+            socket.send(to, told);
+        }
+    }
+    auto on(const find_origin &wanted) -> void
+    {
+        const auto keepers = originKeepers(wanted.requestId, ORIGIN_REQUEST_LIMIT);
+        for (const auto &to : keepers) {
+            socket.send(to, origin_request_frame{.lookupId = wanted.lookupId,
+                                                 .requestId = wanted.requestId});
+        }
+        reports.push(origin_asked{.lookupId = wanted.lookupId, .reporters = keepers.size()});
+    }
+    /// Returns the reporters that come first for a request, by rendezvous hashing: those that
+    /// answer, and others only if they are too few.
+    auto originKeepers(const std::string &requestId, std::size_t count) -> std::vector<endpoint>
+    {
+        struct ranked_reporter
+        {
+            bool silent = false;
+            std::uint64_t rank = 0;
+            endpoint where;
+        };
+        std::map<std::string, ranked_reporter> byAddress;
+        for (const auto &[address, reporter] : reporters) {
+            const auto where = toText(reporter.reporter);
+            auto &ranked = byAddress[where];
+            ranked = {.silent = reporter.unansweredRequests > 1,
+                      .rank = stableHash(requestId, stableHash(where)),
+                      .where = reporter.reporter};
+        }
+        std::vector<ranked_reporter> sorted;
+        for (const auto &[where, ranked] : byAddress) {
+            sorted.push_back(ranked);
+        }
+        std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) {
+            return std::pair(a.silent, a.rank) < std::pair(b.silent, b.rank);
+        });
+        std::vector<endpoint> out;
+        for (const auto &ranked : sorted) {
+            if (out.size() >= count || (ranked.silent && !out.empty())) {
+                break;
+            }
+            out.push_back(ranked.where);
+        }
+        return out;
+    }
     /// Picks different reporters at random, from those that answer if there are enough.
     auto pickReporters(std::size_t count) -> std::vector<endpoint>
     {
@@ -331,7 +396,10 @@
     {
         ++state.unansweredRequests;
         metrics.add(reports_metric::report_requests);
-        socket.send(state.reporter, report_request_frame{.host = options.host});
+        socket.send(state.reporter,
+                    report_request_frame{.host = options.host,
+                                         .bornUnixMs = state.software ? state.bornUnixMs : 0,
+                                         .software = state.software.value_or(server_software{})});
         if (state.observationRequests < OBSERVATION_REQUEST_COUNT) {
             ++state.observationRequests;
             socket.send(state.reporter, observations_request_frame{.host = options.host});
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -4,6 +4,7 @@
 #include "framework/http/httptypes.h"
 #include "innerprotocol/frames.h"
 #include "limits/ratelimiter.h"
+#include "origins/originkeeper.h"
 #include "quarantine/observationlog.h"
 #include "reporting/evacuationscheduler.h"
 #include "reporting/memoryrule.h"
@@ -56,6 +57,7 @@
     /// observations again.
     std::int64_t listenerGapUs = 2'000 * US_PER_MS;
     observation_log_options observations;
+    origin_log_options origins;
     /// Keeps the server to the limit that it states. Runs that must move may exceed it for a
     /// moment.
     rate_limiter_options rateLimit{.burst = 2.0, .maxDebt = 2.0};
@@ -122,6 +124,7 @@
         , m_clock(clock)
         , m_sink(sink)
         , m_observations(m_options.observations)
+        , m_origins(m_options.origins)
         , m_rateLimiter(m_options.rateLimit)
         , m_warmUp(m_options.warmUp)
         , m_evacuation(m_options.evacuation)
@@ -158,6 +161,22 @@
         sendObservations(listener, missedNone ? m_observations.collect(repeatSince, now)
                                               : m_observations.collectAll(now));
     }
+    /// Takes the software of the server's process as an entry reads it in the published list.
+    auto onServerSoftware(std::int64_t bornUnixMs, const server_software &software) -> void
+    {
+        m_origins.onServerSoftware(bornUnixMs, software, m_clock.now());
+    }
+    auto onStreamOrigin(const stream_origin_frame &told) -> void
+    {
+        m_origins.onDelivered(told.requestId, told.software, m_clock.now());
+    }
+    auto onOriginRequest(const endpoint &from, const origin_request_frame &asked) -> void
+    {
+        const auto origin = m_origins.find(asked.requestId);
+        m_sink.send(from, origin_reply_frame{.lookupId = asked.lookupId,
+                                             .evidence = origin.evidence,
+                                             .software = origin.software});
+    }
     /// Sends all observations to an entry that has just started or has just learnt of this server.
     auto onObservationsRequest(const endpoint &from) -> void
     {
@@ -334,6 +353,7 @@
         m_models = seen.models;
         m_forecast.onReport(seen, m_clock.now());
         m_pace.onRuns(seen.runs, m_clock.now());
+        m_origins.onRuns(seen.bornUnixMs, seen.runs, m_clock.now());
         m_report.usPerEvent = m_pace.usPerEvent();
         for (const auto &run : seen.runs) {
             m_grants.erase(run.requestId);
@@ -784,6 +804,7 @@
     /// Memory granted and not yet used, by request id.
     std::map<std::string, grant_state> m_grants;
     observation_log m_observations;
+    origin_keeper m_origins;
     rate_limiter m_rateLimiter;
     warm_up_limiter m_warmUp;
     time_us m_rateLimitSeenAt;
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -94,7 +94,8 @@
     }
     auto onDatagram(const endpoint &from, frame message) -> void
     {
-        if (std::holds_alternative<report_request_frame>(message)) {
+        if (const auto *wanted = std::get_if<report_request_frame>(&message)) {
+            m_core.onServerSoftware(wanted->bornUnixMs, wanted->software);
             m_core.onReportRequest(from);
         } else if (const auto *asked = std::get_if<room_request_frame>(&message)) {
             m_core.onRoomRequest(from, *asked);
@@ -110,6 +111,10 @@
             m_core.onObservationsRequest(from);
         } else if (const auto *seen = std::get_if<rate_limit_frame>(&message)) {
             m_core.onRateLimit(seen->rateLimit);
+        } else if (const auto *delivered = std::get_if<stream_origin_frame>(&message)) {
+            m_core.onStreamOrigin(*delivered);
+        } else if (const auto *lookup = std::get_if<origin_request_frame>(&message)) {
+            m_core.onOriginRequest(from, *lookup);
         }
     }
     auto onHead(channel &, const channel_head &head) -> head_verdict
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -19,14 +19,6 @@
            && known.address == entry.address;
 }
 
-/// Nullopt if it is not known which version the server has.
-auto statedSoftware(const server_entry &entry) -> std::optional<server_software>
-{
-    return entry.softwareVersion ? std::optional(
-               server_software{.pool = entry.pool, .version = *entry.softwareVersion})
-                                 : std::nullopt;
-}
-
 } // namespace
 
 auto server_directory::onServerList(const std::vector<server_entry> &entries, time_us now)
--- a/src/serverviews/softwarehistory.h
+++ b/src/serverviews/softwarehistory.h
@@ -28,6 +28,13 @@
     friend auto operator==(const server_process &, const server_process &) -> bool = default;
 };
 
+/// Nullopt if it is not known which version the server has. Thread safe.
+inline auto statedSoftware(const server_entry &entry) -> std::optional<server_software>
+{
+    return entry.softwareVersion ? std::optional(
+               server_software{.pool = entry.pool, .version = *entry.softwareVersion})
+                                 : std::nullopt;
+}
 /// Thread safe.
 inline auto processOf(const server_entry &entry) -> server_process
 {
