A stream's end by close is decided by answers of the server made after it

A repeat could be ended as complete with a part of its events: the timer for the end of the first run stayed, and judged the repeat by the end of the first. A report was taken as a sign of life by the time at which it arrived, though a reporter holds its server for sound until the second unanswered poll, and says so in replies to requests for room. A reply of the process that came after the server's was taken for the server's.

Change: the decision ends with its timer and holds only in the phase it belongs to. Reports tell how long ago the server last answered, and only an answer that is later than the close makes a stream complete. Replies to requests for room pass the same check of the process as reports. A server that is no longer known does not count a failure.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -364,7 +364,8 @@
             failRequest(request, failure::overloaded, ran);
         }
     }
-    /// The origin of the stream that a caller resumes is known: it goes on in the pool that began it.
+    /// The origin of the stream that a caller resumes is known: it goes on in the pool that began
+    /// it.
     auto onOriginKnown(request_state &request) -> void
     {
         const auto &shares = request.route->pools;
@@ -380,8 +381,8 @@
         }
         m_placer.placeOrWait(request);
     }
-    /// It is not known which software began the stream. A reporter that has not replied may tell when
-    /// the caller returns.
+    /// It is not known which software began the stream. A reporter that has not replied may tell
+    /// when the caller returns.
     auto onOriginUnknown(request_state &request, bool incomplete) -> void
     {
         const auto retryAfterMs
@@ -692,13 +693,16 @@
     /// it is complete.
     auto decideEnd(request_state &request) -> void
     {
+        if (request.phase != request_phase::ending) {
+            return;
+        }
         const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
         switch (decideStreamEnd(view, request.endedAt, m_clock.now(), m_options.streamEnds)) {
         case stream_end::complete:
             completeStream(request, response_end::connection_close);
             break;
         case stream_end::cut:
-            onServerEnded(request, view && view->leaving());
+            onServerEnded(request, !view || view->leaving());
             break;
         case stream_end::undecided:
             m_timers.set({timer_kind::stream_end, request.number},
@@ -720,10 +724,13 @@
         }
     }
     /// Handles a stream that ended with the process of its server.
-    auto onServerEnded(request_state &request, bool wasLeaving) -> void
+    auto onServerEnded(request_state &request, bool wasExpected) -> void
     {
         m_ending.erase(request.number);
-        if (!wasLeaving) {
+        m_timers.cancel({timer_kind::stream_end, request.number});
+        // What follows must not be taken for the end that has been decided.
+        request.phase = request_phase::streaming;
+        if (!wasExpected) {
             m_servers.onOutcome(request, false);
         }
         m_quarantine.onRunLost(request);
--- a/src/forwarding/streamend.h
+++ b/src/forwarding/streamend.h
@@ -25,8 +25,9 @@
 {
     /// How long to wait for a report that shows whether the server's process has survived the end.
     std::int64_t confirmationUs = 500 * US_PER_MS;
-    /// A report that arrives sooner may have been made before the end.
-    std::int64_t reportDelayUs = 100 * US_PER_MS;
+    /// How much later than the end the process must have answered its reporter: the end may be
+    /// known late, and the age of an answer in whole milliseconds.
+    std::int64_t survivalUs = 20 * US_PER_MS;
     /// A server without a report for so long has no reporter.
     std::int64_t reportMaxAgeUs = 1 * US_PER_SECOND;
     /// A server may cut its streams this long before it shuts down.
@@ -42,19 +43,20 @@
     if (!view || view->replaced) {
         return stream_end::cut;
     }
-    const auto shutsDown
-        = view->shutdownAt && endedAt + options.shutdownMarginUs >= *view->shutdownAt;
+    const auto shutsDown = view->leaving() && view->shutdownAt
+                           && endedAt + options.shutdownMarginUs >= *view->shutdownAt;
     if (shutsDown || (view->report && !view->report->answering)) {
         return stream_end::cut;
     }
-    if (view->report && view->reportAt >= endedAt + options.reportDelayUs) {
+    if (view->report && view->answeredAt >= endedAt + options.survivalUs) {
         return stream_end::complete;
     }
-    const auto hasReporter = view->report && now - view->reportAt < options.reportMaxAgeUs;
+    // A reporter that was heard before the end and is silent since may have ended with the server.
+    const auto hasReporter = view->report && endedAt - view->reportAt < options.reportMaxAgeUs;
     if (hasReporter && now - endedAt < options.confirmationUs) {
         return stream_end::undecided;
     }
-    return view->leaving() ? stream_end::cut : stream_end::complete;
+    return hasReporter || view->leaving() ? stream_end::cut : stream_end::complete;
 }
 
 } // namespace marjoram
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -67,6 +67,8 @@
     /// no such limit, and for how long the server is cold.
     std::uint64_t coldMilliPerSecond = 0;
     std::int64_t coldForMs = 0;
+    /// Time since the backend server last answered the reporter.
+    std::int64_t answeredAgoMs = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -95,6 +97,7 @@
         visit(self.slowdownPercent);
         visit(self.coldMilliPerSecond);
         visit(self.coldForMs);
+        visit(self.answeredAgoMs);
     }
 };
 
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -61,7 +61,8 @@
             .usPerEvent = frame.usPerEvent,
             .slowdownPercent = frame.slowdownPercent,
             .coldMilliPerSecond = frame.coldMilliPerSecond,
-            .coldForMs = frame.coldForMs};
+            .coldForMs = frame.coldForMs,
+            .answeredAgoMs = frame.answeredAgoMs};
 }
 
 } // namespace
@@ -286,8 +287,16 @@
         if (states.empty()) {
             return;
         }
+        markReplaced(reply.report);
         auto *state = states.front();
         state->unansweredRequests = 0;
+        if (isOfOtherProcess(*state, reply.report)) {
+            reports.push(room_replied{.askId = reply.askId,
+                                      .verdict = room_verdict::not_answering,
+                                      .serverId = state->serverId,
+                                      .report = {.answering = false}});
+            return;
+        }
         state->sequence = std::max(state->sequence, reply.report.sequence);
         reports.push(room_replied{.askId = reply.askId,
                                   .verdict = reply.verdict,
@@ -295,6 +304,12 @@
                                   .report = toReport(reply.report),
                                   .expectedWaitMs = reply.expectedWaitMs});
     }
+    static auto isOfOtherProcess(const reporter_state &state, const server_report_frame &report)
+        -> bool
+    {
+        return report.bornUnixMs != 0 && state.bornUnixMs != 0
+               && report.bornUnixMs != state.bornUnixMs;
+    }
     auto findReporter(const std::string &address, const std::string &serverId)
         -> reporter_map::iterator
     {
@@ -379,12 +394,10 @@
     }
     auto onReport(reporter_state &state, const server_report_frame &report) -> void
     {
-        const auto otherProcess = report.bornUnixMs != 0 && state.bornUnixMs != 0
-                                  && report.bornUnixMs != state.bornUnixMs;
         // A restarted reporter counts from 1 again.
         const auto stale = report.sequence <= state.sequence && report.sequence > 1;
         state.unansweredRequests = 0;
-        if (otherProcess || stale) {
+        if (isOfOtherProcess(state, report) || stale) {
             metrics.add(reports_metric::reports_stale);
             return;
         }
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -787,6 +787,8 @@
         ++m_report.sequence;
         updateRateLimit(m_clock.now());
         m_report.listeners = static_cast<std::uint32_t>(m_listeners.size());
+        m_report.answeredAgoMs
+            = std::min((m_clock.now() - m_answeredAt) / US_PER_MS, MAX_DURATION_MS);
         return m_report;
     }
     auto expireListeners(time_us now) -> void
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -143,6 +143,7 @@
     }
     view->report = std::move(report);
     view->reportAt = now;
+    view->answeredAt = now + -toUs(view->report->answeredAgoMs);
     view->sentSinceReport = 0;
     view->tokensSinceReport = 0;
     onReportedRateLimit(*view, now);
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -130,6 +130,8 @@
     /// no such limit, and for how long the server is cold.
     std::uint64_t coldMilliPerSecond = 0;
     std::int64_t coldForMs = 0;
+    /// Time since the server last answered its reporter, when the report was sent.
+    std::int64_t answeredAgoMs = 0;
 };
 
 /// Load reported with a response.
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -43,6 +43,8 @@
     work_pace pace;
     std::optional<server_report> report;
     time_us reportAt;
+    /// When the process last answered its reporter.
+    time_us answeredAt{INT64_MIN / 2};
     /// Requests of this process that are in progress there.
     std::uint32_t inFlight = 0;
     /// Forecast KV cache memory of this process's generations there, in tokens.
