Continuation needs a process that is known, before the request and at its first event

A run whose process was uncertain was moved by the version that the list gave for its address. A server that started anew after a repeat had been sent to it joined its events to the stream. The unknown version of an announced server was taken for none, so that an entry without a list restricted nothing. A server whose reporter had fallen silent was trusted by the list, and one without a start time was taken for its successor. Versions that are not stated matched each other.

Change: the memory of an uncertain run goes on only where it lies; the first events of a run that continues a stream are passed on only if its process is still the one it was sent to; grants of replaced servers aren't used; announced servers count as having versions; once a reporter has been heard its reports are needed; equality needs a stated version or a start time. Which pools state versions is kept as a set, where each decision walked the history.

--- a/src/forwarding/continuationfilter.h
+++ b/src/forwarding/continuationfilter.h
@@ -37,10 +37,14 @@
         if (!begun || !request.pool || !directory.statesVersions(request.pool->name)) {
             return;
         }
-        m_origin = m_withMemory ? run_origin{.process = request.run.process()} : *request.origin;
+        m_origin = request.origin.value_or(run_origin{});
+        if (!request.origin && isRunCertain(request)) {
+            m_origin->process = request.run.process();
+        }
         if (!m_origin->software) {
             m_origin->software = directory.softwareOf(m_origin->process);
         }
+        m_memoryHolder = request.run.process();
     }
 
     /// Whether servers may be excluded.
@@ -52,7 +56,7 @@
         }
         // A process that lost its memory refuses to resume from it.
         const auto holdsMemory
-            = m_withMemory && !view.replaced && processOf(view.entry) == m_origin->process;
+            = m_withMemory && !view.replaced && processOf(view.entry) == m_memoryHolder;
         return holdsMemory || m_directory.mayContinueAt(*m_origin, view, m_now);
     }
     auto allows(std::string_view serverId) const -> bool
@@ -67,10 +71,20 @@
     }
 
 private:
+    /// Whether the run's process is the one that its server's entry names: a list that lags behind
+    /// may name the predecessor.
+    auto isRunCertain(const request_state &request) const -> bool
+    {
+        const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
+        return view && m_directory.isProcessCurrent(*view, m_now);
+    }
+
     const server_directory &m_directory;
     time_us m_now;
     bool m_withMemory;
+    /// Unset if all servers are allowed. Without software nothing but the memory's holder is.
     std::optional<run_origin> m_origin;
+    server_process m_memoryHolder;
 };
 
 } // namespace marjoram
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -608,6 +608,10 @@
             std::count_if(advanced.events.begin(), advanced.events.end(),
                           [](const stream_event &event) { return event.id.has_value(); }));
         m_quarantine.onRunProgress(*request, false);
+        if (continuesElsewhere(*request)) {
+            onUnusableContinuation(*request, "other_software");
+            return;
+        }
         auto merged = mergeEvents(*request, advanced.events);
         if (merged.gap) {
             onUnusableContinuation(*request, "missing_events");
@@ -645,6 +649,19 @@
         bindOrigin(request);
         m_origins.onFirstEvent(request);
     }
+    /// Whether the first events of a run that continues a stream come from a process that has taken
+    /// the place of the one that the run was sent to. A process without the memory of a run refuses
+    /// to resume from it.
+    auto continuesElsewhere(const request_state &request) const -> bool
+    {
+        if (request.run.forwardedEvents > 0 || !request.origin || request.run.copy) {
+            return false;
+        }
+        const auto filter = streamFilterOf(request);
+        return filter.isRestricting()
+               && (!m_directory.findProcess(request.run.serverId, request.run.bornUnixMs)
+                   || !filter.allows(request.run.serverId));
+    }
     auto streamFilterOf(const request_state &request) const -> continuation_filter
     {
         return {m_directory, request, continued_part::stream, m_clock.now()};
--- a/src/forwarding/requestplacer.h
+++ b/src/forwarding/requestplacer.h
@@ -143,9 +143,10 @@
         const auto server = reservation ? reservation->server : request->roomRequest.server;
         // Answers to other requests may have changed what is known of the server.
         const auto *view = m_directory.find(serverId);
-        const auto closed = view
-                            && (view->leaving() || view->pausedUntil > m_clock.now()
-                                || m_directory.isEvacuated(serverId));
+        const auto closed
+            = view
+              && (view->leaving() || view->replaced || view->pausedUntil > m_clock.now()
+                  || m_directory.isEvacuated(serverId));
         const auto allowed = filterOf(*request, false).allows(serverId);
         const auto usable = !closed && allowed && !isExpired(*request);
         if (replied.verdict == room_verdict::granted && usable) {
--- a/src/forwarding/tests/softwareversiontests.cpp
+++ b/src/forwarding/tests/softwareversiontests.cpp
@@ -147,3 +147,35 @@
     CHECK(f.sends() == 1);
     CHECK(f.sink.callers<abort_response_stream>().size() == 1);
 }
+
+// The list named the predecessor of the process that had got the request.
+TEST_CASE("a run whose process was uncertain moves to a server of the version of the list")
+{
+    for (const auto hasEvents : {true, false}) {
+        CAPTURE(hasEvents);
+        forwarding_fixture f;
+        f.core.onServerList({engineOf("i-c", "v1")});
+        f.core.onListAvailability(false);
+        f.openRequest("draft");
+        f.beginStream();
+        if (hasEvents) {
+            f.streamEvents(1, 10);
+        }
+        f.core.onListAvailability(true);
+        f.core.onServerList({engineOf("i-c", "v2", 9), engineOf("i-d", "v1")});
+        f.reportLeaving();
+        CHECK(f.copyCommands() == 0);
+    }
+}
+
+TEST_CASE("events of a process that started anew after the repeat was sent are joined to a stream")
+{
+    begun_stream f("label", {engineOf("i-e", "v1")});
+    f.failExchange(fetch_phase::reading);
+    REQUIRE(f.lastSend().serverId == "i-e");
+    f.core.onReplaced("i-e");
+    f.beginStream();
+    f.streamEvents(11, 12);
+    CHECK(f.deliveredBytes().ends_with("10;"));
+    CHECK(f.cut());
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -43,8 +43,10 @@
             view.cold.listedUntil = view.cold.until;
         }
         view.entry.bornUnixMs = bornUnixMs;
-        if (const auto software = statedSoftware(view.entry)) {
+        const auto software = statedSoftware(view.entry);
+        if (software && !software->version.empty()) {
             m_software.record(processOf(view.entry), *software, now);
+            m_versionedPools.insert(software->pool);
         }
         view.unlistedAt.reset();
         view.announced = false;
@@ -485,21 +487,28 @@
 
 auto server_directory::mayContinueAt(const run_origin &origin, const server_view &view,
                                      time_us now) const -> bool
+{
+    return hasSoftwareOf(origin, view) && isProcessCurrent(view, now);
+}
+
+/// Whether a server has the software of the origin, or is the origin itself. Without a start time a
+/// process can't be told from the next one at its address.
+auto server_directory::hasSoftwareOf(const run_origin &origin, const server_view &view) const
+    -> bool
 {
     const auto software = origin.software ? origin.software : softwareOf(origin.process);
-    const auto sameSoftware = software && statedSoftware(view.entry) == software;
-    const auto sameProcess = processOf(view.entry) == origin.process;
-    return (sameSoftware || sameProcess) && isProcessCurrent(view, now);
+    const auto sameSoftware
+        = software && !software->version.empty() && statedSoftware(view.entry) == software;
+    const auto sameProcess
+        = origin.process.bornUnixMs != 0 && processOf(view.entry) == origin.process;
+    return sameSoftware || sameProcess;
 }
 
 auto server_directory::continuationOf(const run_origin &origin, time_us now) const -> continuation
 {
-    const auto software = origin.software ? origin.software : softwareOf(origin.process);
     auto out = continuation::none;
     for (const auto &[id, view] : m_views) {
-        const auto same = (software && statedSoftware(view.entry) == software)
-                          || processOf(view.entry) == origin.process;
-        if (!same || !isUsable(view, now)) {
+        if (!hasSoftwareOf(origin, view) || !isUsable(view, now)) {
             continue;
         }
         if (mayContinueAt(origin, view, now)) {
@@ -512,10 +521,11 @@
 
 auto server_directory::statesVersions(std::string_view pool) const -> bool
 {
-    return m_software.statesVersions(pool)
+    // The version of an announced server is not known, rather than not stated.
+    return m_versionedPools.contains(pool)
            || std::any_of(m_views.begin(), m_views.end(), [pool](const auto &named) {
-                  const auto &entry = named.second.entry;
-                  return entry.pool == pool && !entry.softwareVersion.value_or("").empty();
+                  const auto &view = named.second;
+                  return view.announced && view.entry.pool == pool;
               });
 }
 
@@ -524,12 +534,14 @@
     if (view.replaced) {
         return false;
     }
-    if (view.report && now - view.reportAt < m_options.processReportMaxAgeUs) {
-        const auto born = view.report->bornUnixMs;
-        return view.report->answering
-               && (born == 0 || view.entry.bornUnixMs == 0 || born == view.entry.bornUnixMs);
+    if (!view.report) {
+        return m_listAvailable && !view.announced;
     }
-    return m_listAvailable && !view.announced;
+    // Once a reporter has been heard, its silence may be that of the server's host.
+    const auto born = view.report->bornUnixMs;
+    const auto listed = born == 0 || view.entry.bornUnixMs == 0 || born == view.entry.bornUnixMs;
+    return now - view.reportAt < m_options.processReportMaxAgeUs && view.report->answering
+           && listed;
 }
 
 auto server_directory::isEvacuated(std::string_view id) const -> bool
--- a/src/serverviews/internal/softwarehistory.cpp
+++ b/src/serverviews/internal/softwarehistory.cpp
@@ -23,14 +23,6 @@
     return found == m_records.end() ? std::nullopt : std::optional(found->second.software);
 }
 
-auto software_history::statesVersions(std::string_view pool) const -> bool
-{
-    return std::any_of(m_records.begin(), m_records.end(), [pool](const auto &named) {
-        const auto &software = named.second.software;
-        return software.pool == pool && !software.version.empty();
-    });
-}
-
 auto software_history::dropOld(time_us now) -> void
 {
     std::erase_if(m_records,
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -227,6 +228,7 @@
     };
 
     auto findMutable(const std::string &id) -> server_view *;
+    auto hasSoftwareOf(const run_origin &origin, const server_view &view) const -> bool;
     auto setRateLimit(server_view &view, std::uint64_t milliPerSecond, time_us seenAt, time_us now)
         -> bool;
     auto onReportedRateLimit(server_view &view, time_us now) -> void;
@@ -251,6 +253,8 @@
     std::map<std::string, server_view, std::less<>> m_views;
     std::map<std::string, gone_server> m_gone;
     software_history m_software;
+    /// Pools of which a server has stated its version.
+    std::set<std::string, std::less<>> m_versionedPools;
     evacuations m_evacuations;
     cold_limits m_coldLimits;
     std::size_t m_coldServers = 0;
--- a/src/serverviews/softwarehistory.h
+++ b/src/serverviews/softwarehistory.h
@@ -64,8 +64,6 @@
         -> void;
     /// Returns the software of a process; nullopt if no list has stated it, or long ago.
     auto find(const server_process &process) const -> std::optional<server_software>;
-    /// Whether a process of the pool is remembered that has stated a version.
-    auto statesVersions(std::string_view pool) const -> bool;
 
 private:
     struct software_record
--- a/src/serverviews/tests/softwareversiontests.cpp
+++ b/src/serverviews/tests/softwareversiontests.cpp
@@ -78,6 +78,10 @@
     {
         directory.onListAvailability(false, {});
     }
+    SUBCASE("its reporter has fallen silent")
+    {
+        directory.onReport("b", {.bornUnixMs = 2}, {-2 * US_PER_SECOND});
+    }
     SUBCASE("the list has the new process")
     {
         directory.onServerList({entryOf("a", "v1", 1), entryOf("b", "v2", 9)}, {});
@@ -116,8 +120,26 @@
     CHECK(history.find({.bornUnixMs = 9}));
     CHECK(history.find({.bornUnixMs = 7}));
     CHECK_FALSE(history.find({.bornUnixMs = 6}));
-    CHECK(history.statesVersions("p"));
-    CHECK_FALSE(history.statesVersions("q"));
     history.record({.bornUnixMs = 0}, {.pool = "q", .version = "v"}, time_us{9});
     CHECK_FALSE(history.find({.bornUnixMs = 0}));
 }
+
+TEST_CASE("entries without versions or start times are taken for the same software")
+{
+    server_directory directory({});
+    directory.onServerList({entryOf("a", "v1", 0), entryOf("b", "", 2), entryOf("c", "", 3)}, {});
+    CHECK_FALSE(mayContinue(directory, originAt("b", "", 2), "c"));
+    CHECK(mayContinue(directory, originAt("b", "", 2), "b"));
+    CHECK_FALSE(mayContinue(directory, originAt("a", "v2", 0), "a"));
+    CHECK(directory.statesVersions("engines"));
+}
+
+TEST_CASE("the unknown version of an announced server is taken for none")
+{
+    server_directory directory({});
+    auto started = entryOf("a", "", 1);
+    started.softwareVersion.reset();
+    directory.onAnnounced(started, {}, {});
+    CHECK(directory.statesVersions(directory.find("a")->entry.pool));
+    CHECK_FALSE(directory.statesVersions("other"));
+}
