Responses with a status that no response has are errors; interim ones are skipped

A server in trouble answered with status 000, and its caller got that as an answer; 099, 199, 600 and 999 too.

Cause: the parser takes any three digits, and both clients passed the number on.

Interim responses (100 to 199 without 101) are read over, 16 at most, up to the final one.

--- a/src/framework/http/httpchannel.h
+++ b/src/framework/http/httpchannel.h
@@ -297,6 +297,16 @@
     auto takeHead() -> std::error_code
     {
         const auto &message = m_parser->get();
+        const auto kind = statusKindOf(message.result_int());
+        if (kind == status_kind::invalid) {
+            return make_error_code(response_error::invalid_status);
+        }
+        if (kind == status_kind::interim) {
+            m_skipping = true;
+            return ++m_skippedResponses > SKIPPED_RESPONSE_LIMIT
+                       ? make_error_code(response_error::too_much_skipped)
+                       : std::error_code{};
+        }
         channel_head head{.status = static_cast<int>(message.result_int()),
                           .keepAlive = message.keep_alive()};
         for (const auto &field : message) {
--- a/src/framework/http/httpfetch.h
+++ b/src/framework/http/httpfetch.h
@@ -101,6 +101,7 @@
 
     static constexpr unsigned HTTP_VERSION = 11;
     static constexpr std::size_t BUFFER_BYTES = 16 * 1024;
+    static constexpr std::uint32_t SKIPPED_RESPONSE_LIMIT = 16;
 
     auto onConnected(boost::system::error_code error) -> void
     {
@@ -124,7 +125,8 @@
             return;
         }
         m_phase = fetch_phase::reading;
-        m_parser.body_limit(boost::none);
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
         read();
     }
     auto read() -> void
@@ -137,12 +139,12 @@
             m_stream.expires_never();
             return;
         }
-        m_parser.get().body().data = m_bytes.data();
-        m_parser.get().body().size = m_bytes.size();
+        m_parser->get().body().data = m_bytes.data();
+        m_parser->get().body().size = m_bytes.size();
         const auto silentUntil = clock::now() + m_options.readTimeout;
         m_stream.expires_at(m_endAt ? std::min(silentUntil, *m_endAt) : silentUntil);
         boost::beast::http::async_read_some(
-            m_stream, m_buffer, m_parser,
+            m_stream, m_buffer, *m_parser,
             [self = this->shared_from_this()](boost::system::error_code e, std::size_t) {
                 self->onRead(e);
             });
@@ -155,12 +157,21 @@
         if (error == boost::beast::http::error::need_buffer) {
             error = {};
         }
-        if (m_parser.is_header_done()) {
-            m_status = m_parser.get().result_int();
+        if (m_parser->is_header_done()) {
+            m_status = static_cast<int>(m_parser->get().result_int());
+            const auto kind = statusKindOf(m_parser->get().result_int());
+            if (kind == status_kind::invalid) {
+                done(make_error_code(response_error::invalid_status));
+                return;
+            }
+            if (kind == status_kind::interim && !error) {
+                skipInterim();
+                return;
+            }
         }
-        const auto size = m_bytes.size() - m_parser.get().body().size;
+        const auto size = m_bytes.size() - m_parser->get().body().size;
         const auto refused
-            = m_parser.is_header_done() && size > 0
+            = m_parser->is_header_done() && size > 0
               && m_sink->onBody(std::string_view(m_bytes.data(), size)) == body_verdict::refuse;
         if (!m_sink) {
             return;
@@ -169,7 +180,7 @@
             done(make_error_code(response_error::refused));
             return;
         }
-        if (error || m_parser.is_done()) {
+        if (error || m_parser->is_done()) {
             if (!error) {
                 m_phase = fetch_phase::finished;
             }
@@ -178,6 +189,19 @@
         }
         read();
     }
+    /// Reads on for the final response. Precondition: the head of an interim one, which has no
+    /// body, has been read.
+    auto skipInterim() -> void
+    {
+        if (++m_skippedResponses > SKIPPED_RESPONSE_LIMIT) {
+            done(make_error_code(response_error::too_much_skipped));
+            return;
+        }
+        m_status = 0;
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        read();
+    }
     auto done(std::error_code error) -> void
     {
         m_stream.close();
@@ -193,9 +217,10 @@
     std::optional<clock::time_point> m_endAt;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer{UNPARSED_LIMIT_BYTES};
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::array<char, BUFFER_BYTES> m_bytes;
     fetch_phase m_phase = fetch_phase::connecting;
+    std::uint32_t m_skippedResponses = 0;
     int m_status = 0;
     bool m_paused = false;
     bool m_readDeferred = false;
--- a/src/framework/http/httptypes.h
+++ b/src/framework/http/httptypes.h
@@ -75,12 +75,40 @@
 /// Largest number of bytes that a client buffers and cannot parse yet, such as a chunk's header.
 inline constexpr std::size_t UNPARSED_LIMIT_BYTES = 64 * 1024;
 
+/// What a status code says of the message that bears it.
+enum class status_kind { interim, final, invalid };
+inline constexpr std::array statusKindNames{
+    enum_name<status_kind>{status_kind::interim, "interim"},
+    enum_name<status_kind>{status_kind::final, "final"},
+    enum_name<status_kind>{status_kind::invalid, "invalid"},
+};
+constexpr auto namesOf(status_kind) -> const auto &
+{
+    return statusKindNames;
+}
+/// Interim responses precede the final one, which alone answers the request; a client that asks for
+/// no other protocol gets no 101. Thread safe.
+constexpr auto statusKindOf(unsigned status) -> status_kind
+{
+    constexpr unsigned FIRST_INTERIM = 100;
+    constexpr unsigned SWITCHING_PROTOCOLS = 101;
+    constexpr unsigned FIRST_FINAL = 200;
+    constexpr unsigned LAST_FINAL = 599;
+    if (status >= FIRST_FINAL && status <= LAST_FINAL) {
+        return status_kind::final;
+    }
+    return status >= FIRST_INTERIM && status < FIRST_FINAL && status != SWITCHING_PROTOCOLS
+               ? status_kind::interim
+               : status_kind::invalid;
+}
+
 /// Why a client closed the connection in the middle of a response.
-enum class response_error { refused = 1, too_much_skipped };
+enum class response_error { refused = 1, too_much_skipped, invalid_status };
 inline constexpr std::array responseErrorNames{
     enum_name<response_error>{response_error::refused, "response refused by its receiver"},
     enum_name<response_error>{response_error::too_much_skipped,
                               "too many bytes that belong to no request"},
+    enum_name<response_error>{response_error::invalid_status, "status that no response has"},
 };
 constexpr auto namesOf(response_error) -> const auto &
 {
--- a/src/framework/http/tests/httptests.cpp
+++ b/src/framework/http/tests/httptests.cpp
@@ -187,6 +187,36 @@
     CHECK(sink.outcome.error == timeout);
 }
 
+// Statuses such as 000 reached callers as answers.
+TEST_CASE("a fetch takes a status that no response has, or an interim response, for the answer")
+{
+    using boost::asio::ip::tcp;
+    const auto fetchFrom = [](const std::string &answer) {
+        boost::asio::io_context context;
+        tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+        tcp::socket socket(context);
+        acceptor.async_accept(socket, [&](boost::system::error_code) {
+            boost::asio::write(socket, boost::asio::buffer(answer));
+            socket.shutdown(tcp::socket::shutdown_send);
+        });
+        collecting_sink sink;
+        auto fetch = std::make_shared<http_fetch<collecting_sink>>(context, sink, fetch_options{});
+        fetch->start({.port = acceptor.local_endpoint().port()}, {});
+        context.run();
+        return sink.outcome;
+    };
+    const std::string rest = " OK\r\nContent-Length: 3\r\n\r\nall";
+    for (const auto *status : {"000", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        CHECK(fetchFrom(std::string("HTTP/1.1 ") + status + rest).error);
+    }
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    CHECK(fetchFrom(interim).error);
+    const auto followed = fetchFrom(interim + "HTTP/1.1 200" + rest);
+    CHECK_FALSE(followed.error);
+    CHECK(followed.status == 200);
+}
+
 TEST_CASE("targets and endpoints are taken apart")
 {
     const http_request request{.target = "/a/b?after=3&wait=10"};
--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -381,3 +381,33 @@
                        options);
     CHECK(f.error() == make_error_code(upstream_error::event_too_large));
 }
+
+// A server in trouble answered with status 000, and its caller got that as an answer.
+TEST_CASE("a status that no response has is passed on")
+{
+    for (const auto *status : {"000", "099", "101", "600", "999", "20", "2000", "-01"}) {
+        for (const auto stream : {false, true}) {
+            CAPTURE(status);
+            exchange_fixture f({.begin = std::string("HTTP/1.1 ") + status
+                                         + " OK\r\nId: r1\r\nContent-Length: 3\r\n\r\nall",
+                                .end = answer_end::close},
+                               stream);
+            CHECK(f.error());
+            CHECK(f.body().empty());
+        }
+    }
+}
+
+TEST_CASE("an interim response is passed on as the answer, or hides it")
+{
+    const auto last = HEAD + "Content-Length: 3\r\n\r\nall";
+    for (const auto *status : {"100", "103", "199"}) {
+        CAPTURE(status);
+        const auto interim = std::string("HTTP/1.1 ") + status + " Wait\r\nId: r1\r\n\r\n";
+        exchange_fixture alone({.begin = interim, .end = answer_end::close}, false);
+        CHECK(alone.error());
+        exchange_fixture followed({.begin = interim + last, .end = answer_end::close}, false);
+        CHECK_FALSE(followed.error());
+        CHECK(followed.body() == "all");
+    }
+}
