--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -568,6 +568,7 @@
         log(log_event::request_answered, request,
             {{"server", request.run.serverId},
              {"status", static_cast<std::int64_t>(status)},
+             {"end", std::string(nameOf(answered.end))},
              {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
         m_sink.observe(latency_kind::plain_answer, m_clock.now() - request.openedAt);
         m_forecast.onAnswer(request, m_clock.now());
