--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -105,6 +105,7 @@
     {
         m_servers.onReplaced(id);
         decideEndsOn(id);
+        decideHeldOn(id);
     }
     auto onReport(const std::string &id, server_report report) -> void
     {
@@ -123,6 +124,7 @@
             moveRunsOf(id);
         }
         decideEndsOn(id);
+        decideHeldOn(id);
         endQuarantinedRequests();
     }
     /// Takes what other entries have seen of their runs.
@@ -227,8 +229,10 @@
 
     auto onEvent(server_event event) -> void
     {
-        std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
-                   std::move(event));
+        if (!hold(event)) {
+            std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
+                       std::move(event));
+        }
         // Runs move only once the request whose answer stated it has its new state.
         if (const auto id = std::exchange(m_statedLeaving, std::nullopt)) {
             onLeaving(*id, "answer");
@@ -265,6 +269,9 @@
             case timer_kind::stream_end:
                 decideEnd(*request);
                 break;
+            case timer_kind::confirmation:
+                decideHeld(*request, true);
+                break;
             }
         }
     }
@@ -293,6 +300,7 @@
               const std::optional<kv_copy> &copy) -> void
     {
         const auto now = m_clock.now();
+        stopHolding(request);
         m_placer.cancelPlacement(request);
         const auto survivedStart = copy && request.run.survivedStart;
         const auto until
@@ -428,7 +436,7 @@
     auto onQuarantineChanged() -> void { m_quarantineChanged = true; }
 
 private:
-    enum class timer_kind { deadline, hedge, stream_end };
+    enum class timer_kind { deadline, hedge, stream_end, confirmation };
     struct timer_key
     {
         timer_kind kind;
@@ -609,10 +617,6 @@
             std::count_if(advanced.events.begin(), advanced.events.end(),
                           [](const stream_event &event) { return event.id.has_value(); }));
         m_quarantine.onRunProgress(*request, false);
-        if (continuesElsewhere(*request)) {
-            onUnusableContinuation(*request, "other_software");
-            return;
-        }
         auto merged = mergeEvents(*request, advanced.events);
         if (merged.gap) {
             onUnusableContinuation(*request, "missing_events");
@@ -650,18 +654,77 @@
         bindOrigin(request);
         m_origins.onFirstEvent(request);
     }
-    /// Whether the first events of a run that continues a stream come from a process that has taken
-    /// the place of the one that the run was sent to. A process without the memory of a run refuses
-    /// to resume from it.
-    auto continuesElsewhere(const request_state &request) const -> bool
-    {
-        if (request.run.forwardedEvents > 0 || !request.origin || request.run.copy) {
+    /// Holds the first events of a run that continues a stream, and what follows them, until the
+    /// server's process is known to be the one that the run was sent to: a server may have started
+    /// anew with other software just before. One without the memory of a run refuses to resume from
+    /// it. Returns false if the event is to be handled now.
+    auto hold(server_event &event) -> bool
+    {
+        auto *request = std::visit(
+            [this](const auto &one) -> request_state * {
+                if constexpr (requires { one.exchangeId; }) {
+                    return findByExchange(one.exchangeId);
+                }
+                return nullptr;
+            },
+            event);
+        if (!request) {
+            return false;
+        }
+        if (request->heldEvents.empty()
+            && !(std::holds_alternative<stream_advanced>(event) && needsConfirmation(*request))) {
             return false;
         }
-        const auto filter = streamFilterOf(request);
-        return filter.isRestricting()
-               && (!m_directory.findProcess(request.run.serverId, request.run.bornUnixMs)
-                   || !filter.allows(request.run.serverId));
+        request->heldEvents.push_back(std::move(event));
+        if (m_held.insert(request->number).second) {
+            m_timers.set({timer_kind::confirmation, request->number},
+                         m_clock.now() + m_options.streamEnds.confirmationUs);
+        }
+        decideHeld(*request, false);
+        return true;
+    }
+    auto needsConfirmation(const request_state &request) const -> bool
+    {
+        return request.origin && !request.run.copy && !request.run.processConfirmed
+               && request.run.forwardedEvents == 0 && streamFilterOf(request).isRestricting();
+    }
+    auto decideHeld(request_state &request, bool expired) -> void
+    {
+        const auto &run = request.run;
+        const auto *view = m_directory.findProcess(run.serverId, run.bornUnixMs);
+        if (!view || !streamFilterOf(request).allows(*view) || expired) {
+            stopHolding(request);
+            onUnusableContinuation(request, "other_software");
+            return;
+        }
+        if (view->report && !hasAnsweredSince(*view, run.sentAt, m_options.streamEnds)) {
+            return;
+        }
+        request.run.processConfirmed = true;
+        for (auto &event : stopHolding(request)) {
+            std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
+                       std::move(event));
+        }
+    }
+    auto decideHeldOn(const std::string &serverId) -> void
+    {
+        std::vector<std::uint64_t> affected;
+        for (const auto number : m_held) {
+            if (findRequest(number)->run.serverId == serverId) {
+                affected.push_back(number);
+            }
+        }
+        for (const auto number : affected) {
+            if (auto *request = findRequest(number); request && m_held.contains(number)) {
+                decideHeld(*request, false);
+            }
+        }
+    }
+    auto stopHolding(request_state &request) -> std::vector<server_event>
+    {
+        m_held.erase(request.number);
+        m_timers.cancel({timer_kind::confirmation, request.number});
+        return std::exchange(request.heldEvents, {});
     }
     auto streamFilterOf(const request_state &request) const -> continuation_filter
     {
@@ -1150,6 +1213,7 @@
         m_timers.cancel({timer_kind::deadline, request.number});
         m_timers.cancel({timer_kind::stream_end, request.number});
         m_origins.cancel(request);
+        stopHolding(request);
         m_ending.erase(request.number);
         m_placer.cancelPlacement(request);
         const auto caller = m_requestByCaller.find(request.callerId);
@@ -1184,6 +1248,8 @@
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
     /// Numbers of the requests whose streams have ended, perhaps complete.
     std::unordered_set<std::uint64_t> m_ending;
+    /// Numbers of the requests whose events are held.
+    std::unordered_set<std::uint64_t> m_held;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByExchange;
     std::map<std::string, retry_window> m_retries;
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -97,6 +97,8 @@
     bool survivedStart = false;
     /// Events of this run that were forwarded.
     std::uint64_t forwardedEvents = 0;
+    /// The process that runs it is known to be the one that it was sent to.
+    bool processConfirmed = false;
 
     auto process() const -> server_process { return {.address = server, .bornUnixMs = bornUnixMs}; }
 };
@@ -158,6 +160,8 @@
     /// What began the stream; set once an event has been forwarded, in this response or in an
     /// earlier one that the caller resumes.
     std::optional<run_origin> origin;
+    /// What the present run has sent, held until its process is confirmed.
+    std::vector<server_event> heldEvents;
     std::uint64_t lastEvent = 0;
     /// The last one of the events that came first.
     std::uint64_t firstBatchEvent = 0;
--- a/src/forwarding/streamend.h
+++ b/src/forwarding/streamend.h
@@ -28,12 +28,17 @@
     /// How much later than the end the process must have answered its reporter: the end may be
     /// known late, and the age of an answer in whole milliseconds.
     std::int64_t survivalUs = 20 * US_PER_MS;
-    /// A server without a report for so long has no reporter.
-    std::int64_t reportMaxAgeUs = 1 * US_PER_SECOND;
     /// A server may cut its streams this long before it shuts down.
     std::int64_t shutdownMarginUs = 300 * US_PER_MS;
 };
 
+/// Whether the process has answered its reporter since a moment. Thread safe.
+inline auto hasAnsweredSince(const server_view &view, time_us moment,
+                             const stream_end_options &options) -> bool
+{
+    return view.report && view.report->answering && view.answeredAt >= moment + options.survivalUs;
+}
+
 /// Decides by what is known of the server's process: one that has ended, or is about to, closes the
 /// connections of its unfinished streams like those of finished ones. `view` is that of the process
 /// that ran the request, null if it is no longer known. Thread safe.
@@ -48,15 +53,14 @@
     if (shutsDown || (view->report && !view->report->answering)) {
         return stream_end::cut;
     }
-    if (view->report && view->answeredAt >= endedAt + options.survivalUs) {
+    if (hasAnsweredSince(*view, endedAt, options)) {
         return stream_end::complete;
     }
-    // A reporter that was heard before the end and is silent since may have ended with the server.
-    const auto hasReporter = view->report && endedAt - view->reportAt < options.reportMaxAgeUs;
-    if (hasReporter && now - endedAt < options.confirmationUs) {
+    // A reporter that was heard before and is silent since may have ended with the server.
+    if (view->report && now - endedAt < options.confirmationUs) {
         return stream_end::undecided;
     }
-    return hasReporter || view->leaving() ? stream_end::cut : stream_end::complete;
+    return view->report || view->leaving() ? stream_end::cut : stream_end::complete;
 }
 
 } // namespace marjoram
--- a/src/forwarding/tests/softwareversiontests.cpp
+++ b/src/forwarding/tests/softwareversiontests.cpp
@@ -168,14 +168,38 @@
     }
 }
 
-TEST_CASE("events of a process that started anew after the repeat was sent are joined to a stream")
+TEST_CASE("events of a process that started anew as the repeat was sent are joined to a stream")
 {
     begun_stream f("label", {engineOf("i-e", "v1")});
+    f.core.onReport("i-e", {.capacityTokens = 34'000, .bornUnixMs = 1});
     f.failExchange(fetch_phase::reading);
+    f.replyToRoomRequest(room_verdict::granted);
     REQUIRE(f.lastSend().serverId == "i-e");
-    f.core.onReplaced("i-e");
     f.beginStream();
+    f.advance(30);
     f.streamEvents(11, 12);
+    f.streamEvents(13, 14);
+    CHECK(f.deliveredBytes().ends_with("10;"));
+    SUBCASE("its reporter sees the new process")
+    {
+        f.core.onReplaced("i-e");
+        CHECK(f.cut());
+    }
+    SUBCASE("its reporter falls silent")
+    {
+        f.core.onReport("i-e", {.bornUnixMs = 1, .answeredAgoMs = 40});
+        f.advance(501);
+        CHECK(f.cut());
+    }
+    SUBCASE("the process is the one that the repeat was sent to")
+    {
+        f.endStream(response_end::framing);
+        CHECK(f.sink.callers<end_response_stream>().empty());
+        f.core.onReport("i-e", {.bornUnixMs = 1});
+        CHECK(f.deliveredBytes().ends_with("10;11;12;13;14;"));
+        CHECK(f.sink.callers<end_response_stream>().size() == 1);
+        CHECK(f.core.drained());
+        return;
+    }
     CHECK(f.deliveredBytes().ends_with("10;"));
-    CHECK(f.cut());
 }
--- a/src/forwarding/tests/stoppedstreamtests.cpp
+++ b/src/forwarding/tests/stoppedstreamtests.cpp
@@ -217,3 +217,17 @@
     CHECK(f.sink.callers<end_response_stream>().empty());
     CHECK(f.sink.callers<abort_response_stream>().size() == 1);
 }
+
+TEST_CASE("a stream ends as complete though its server's reporter had been silent before")
+{
+    forwarding_fixture f;
+    f.openRequest("draft");
+    f.beginStream();
+    f.streamEvents(1, 10);
+    f.core.onReport(f.lastSend().serverId, {});
+    f.advance(2'000);
+    f.closeStream();
+    f.advance(501);
+    CHECK(f.sink.callers<end_response_stream>().empty());
+    CHECK(f.sink.callers<abort_response_stream>().size() == 1);
+}
