Logs and metrics tell how old a configuration may be, and whether an answer was arriving

An entry that reads the store's configuration late left no trace of how late, and a call that was given up while its answer was arriving looked like one to a silent store: both were logged with 'no answer in time'. configuration_in_force now states bytes and max_age_ms, the time since the answer before; the metric configuration_max_age_ms is the largest of them since the start; directory_call_failed states received_bytes. No decision changes.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -24,6 +24,7 @@
     service_failures,
     configuration_answered_unix_ms,
     servers_answered_unix_ms,
+    configuration_max_age_ms,
 };
 inline constexpr std::array directoryMetricNames{
     enum_name<directory_metric>{directory_metric::configuration_version, "configuration_version"},
@@ -35,6 +36,8 @@
                                 "directory_configuration_answered_unix_ms"},
     enum_name<directory_metric>{directory_metric::servers_answered_unix_ms,
                                 "directory_servers_answered_unix_ms"},
+    enum_name<directory_metric>{directory_metric::configuration_max_age_ms,
+                                "configuration_max_age_ms"},
 };
 constexpr auto namesOf(directory_metric) -> const auto &
 {
@@ -73,6 +76,7 @@
     {
         m_announcements.start();
         boost::asio::post(m_worker.context(), [this] {
+            m_configurationConfirmedAt = m_clock.now();
             m_configuration.start();
             m_servers.start();
             scheduleTimer();
@@ -136,6 +140,12 @@
         kind == feed_kind::configuration ? m_configuration.onCompacted() : m_servers.onCompacted();
         scheduleTimer();
     }
+    auto onProgress(feed_kind kind, std::size_t bytes) -> void
+    {
+        kind == feed_kind::configuration ? m_configuration.onProgress(bytes)
+                                         : m_servers.onProgress(bytes);
+        scheduleTimer();
+    }
     auto onFailed(feed_kind kind, std::error_code error) -> void
     {
         m_metrics.add(directory_metric::service_failures);
@@ -185,6 +195,7 @@
         auto onSynced() -> void
         {
             this->duty.applyOperatorItems();
+            this->duty.m_configurationConfirmedAt = this->duty.m_clock.now();
             this->duty.onAnswered(directory_metric::configuration_answered_unix_ms);
         }
     };
@@ -243,13 +254,22 @@
             }
             return;
         }
+        const auto first = !m_table;
         m_table = std::make_shared<const route_table>(std::move(*content));
         const auto version = static_cast<std::int64_t>(m_table->version());
         m_metrics.set(directory_metric::configuration_version, version);
+        // It was published after the answer before, which did not have it yet.
+        const auto maxAgeMs = (m_clock.now() - m_configurationConfirmedAt) / US_PER_MS;
+        if (!first) {
+            m_longestAgeMs = std::max(m_longestAgeMs, maxAgeMs);
+            m_metrics.set(directory_metric::configuration_max_age_ms, m_longestAgeMs);
+        }
         m_log.write(log_event::configuration_in_force,
                     {{"version", version},
                      {"routes", static_cast<std::int64_t>(m_table->content().routes.size())},
-                     {"teams", static_cast<std::int64_t>(m_table->content().teams.size())}});
+                     {"teams", static_cast<std::int64_t>(m_table->content().teams.size())},
+                     {"bytes", static_cast<std::int64_t>(text.size())},
+                     {"max_age_ms", maxAgeMs}});
         publish(table_changed{m_table});
         updateReady();
     }
@@ -299,6 +319,7 @@
                      {"call", std::string(nameOf(failure.call))},
                      {"error", m_lastError.message()},
                      {"call_ms", failure.callUs / US_PER_MS},
+                     {"received_bytes", static_cast<std::int64_t>(failure.receivedBytes)},
                      {"failures", static_cast<std::int64_t>(failure.failures)},
                      {"retry_ms", failure.retryInUs / US_PER_MS}});
     }
@@ -386,6 +407,9 @@
     /// Servers that have started and that the list lacks, and until when it may show them.
     std::map<std::string, time_us> m_awaited;
     route_table_ptr m_table;
+    /// When an answer last showed which configuration is published, or the start.
+    time_us m_configurationConfirmedAt;
+    std::int64_t m_longestAgeMs = 0;
     std::vector<server_entry> m_lastServers;
     bool m_serversListed = false;
     std::error_code m_lastError;
--- a/src/directory/feed.h
+++ b/src/directory/feed.h
@@ -57,7 +57,8 @@
 
 /// Client of the directory service, with at most one call in progress per feed. For each call the
 /// owner gets exactly one of onPage(), onChanges(), onCompacted(kind) and onFailed(kind, error),
-/// unless it calls abandon(kind) first. The owner limits the time of a call. Only a call that
+/// unless it calls abandon(kind) first; onProgress(kind, bytes) tells of parts of an answer that
+/// have arrived before that. The owner limits the time of a call. Only a call that
 /// follows an answer at once may use its connection: others may be dead without a sign of it.
 template <typename S>
 concept directory_source = requires(S &source, feed_kind kind, const std::string &text)
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -122,6 +122,8 @@
     std::int64_t retryInUs = 0;
     /// Failures in a row.
     std::uint32_t failures = 0;
+    /// Part of the answer that had arrived.
+    std::uint64_t receivedBytes = 0;
 };
 
 /// An outage of the service as a list_watch has seen it.
@@ -240,6 +242,8 @@
         m_listedUpTo.clear();
         list({});
     }
+    /// Part of the answer to the call in progress has arrived.
+    auto onProgress(std::size_t bytes) -> void { m_receivedBytes += bytes; }
     auto onFailed() -> void
     {
         if (!std::exchange(m_lost, true)) {
@@ -252,7 +256,8 @@
         m_sink.onCallFailed({.call = m_listing ? directory_call::list : directory_call::watch,
                              .callUs = now - m_schedule.calledAt(),
                              .retryInUs = *m_nextCallAt - now,
-                             .failures = m_schedule.failures()});
+                             .failures = m_schedule.failures(),
+                             .receivedBytes = m_receivedBytes});
     }
 
     /// A change is expected before `until`: the pause between watches is shorter until then, or
@@ -381,6 +386,7 @@
         const auto now = m_clock.now();
         m_nextCallAt.reset();
         m_schedule.onCalled(now);
+        m_receivedBytes = 0;
         m_callEndsBy = now + toUs(waitMs + m_options.answerTimeoutMs);
     }
     auto finishSync() -> void
@@ -505,6 +511,8 @@
     std::optional<time_us> m_nextCallAt;
     /// When the call in progress is given up.
     std::optional<time_us> m_callEndsBy;
+    /// Part of the answer to the latest call that has arrived.
+    std::uint64_t m_receivedBytes = 0;
     time_us m_syncedAt;
     time_us m_expectingUntil;
     std::optional<time_us> m_removalGraceUntil;
