A configuration that takes longer to transfer than the time for an answer is read

What callers saw: an entry whose call to the store was given up 0.9 s after the wait it had asked for kept its old configuration, or had none after a start and answered 503, as long as the answer took longer than that to transfer. The store takes values of 1 MiB; over the link of the small entries of the grown deployments, 10 Mbit/s, such an answer takes 1.1 s, and longer where the link is shared. After the first failure watches do not wait, so that every further call was given up too.

Cause: a time limit for a whole answer that does not grow with its size. A silent store and one whose answer is arriving were treated alike.

Why it works: answer_deadline waits for the beginning of an answer as long as before, and then as long as it arrives, but no slower than 16 KiB/s. A silence in the middle is noticed within the same 0.9 s, and the pause after it counts from the last part, since the store was there until then.

--- a/src/directory/directoryoptions.h
+++ b/src/directory/directoryoptions.h
@@ -68,14 +68,15 @@
     const auto serversReturnMs = maxReturnMs + bounds.leavingMs - REMOVAL_GRACE_MS;
     const auto operatorMs
         = std::min(bounds.configurationMs, bounds.evacuationMs.value_or(bounds.configurationMs));
+    const answer_deadline_options answer{.silenceUs = answerTimeoutMs * US_PER_MS};
     return {.configuration = {.longPollMs = std::min(operatorMs, longestWatchMs),
-                              .answerTimeoutMs = answerTimeoutMs,
+                              .answer = answer,
                               .retry = retryOf(operatorMs, maxReturnMs)},
             .servers
             = {.watchPauseUs = shareOf(bounds.leavingMs, PAUSE_SHARE) * US_PER_MS,
                .expectantPauseUs = shareOf(bounds.leavingMs, EXPECTANT_PAUSE_SHARE) * US_PER_MS,
                .longPollMs = shareOf(bounds.leavingMs, SERVERS_LONG_POLL_SHARE),
-               .answerTimeoutMs = answerTimeoutMs,
+               .answer = answer,
                .retry = retryOf(bounds.leavingMs, serversReturnMs),
                .removalGraceUs = REMOVAL_GRACE_MS * US_PER_MS,
                .restoreHoldUs = RESTORE_HOLD_MS * US_PER_MS}};
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/answerdeadline.h"
 #include "framework/global/clock.h"
 #include "framework/global/enumnames.h"
 #include "framework/global/identifiers.h"
@@ -86,8 +87,8 @@
     std::int64_t expectantPauseUs = 0;
     /// Longest time for which the service holds a watch without changes.
     std::int64_t longPollMs = 1'500;
-    /// Time for an answer, beyond the time that a watch waits. A call without one has failed.
-    std::int64_t answerTimeoutMs = 900;
+    /// A call whose answer does not arrive within these limits has failed.
+    answer_deadline_options answer;
     retry_schedule_options retry;
     /// Time after an outage of the service for which removals are held back: keys may have expired
     /// during the outage and be written again.
@@ -166,6 +167,7 @@
         , m_random(seed)
         , m_sink(sink)
         , m_schedule(options.retry)
+        , m_answer(options.answer)
     {
         static_assert(list_watch_sink<Sink, Item>);
     }
@@ -243,7 +245,16 @@
         list({});
     }
     /// Part of the answer to the call in progress has arrived.
-    auto onProgress(std::size_t bytes) -> void { m_receivedBytes += bytes; }
+    auto onProgress(std::size_t bytes) -> void
+    {
+        if (!m_callEndsBy) {
+            return;
+        }
+        const auto now = m_clock.now();
+        m_schedule.onProgress(now);
+        m_answer.onProgress(now, bytes);
+        m_callEndsBy = m_answer.endsAt();
+    }
     auto onFailed() -> void
     {
         if (!std::exchange(m_lost, true)) {
@@ -257,7 +268,7 @@
                              .callUs = now - m_schedule.calledAt(),
                              .retryInUs = *m_nextCallAt - now,
                              .failures = m_schedule.failures(),
-                             .receivedBytes = m_receivedBytes});
+                             .receivedBytes = m_answer.receivedBytes()});
     }
 
     /// A change is expected before `until`: the pause between watches is shorter until then, or
@@ -386,8 +397,8 @@
         const auto now = m_clock.now();
         m_nextCallAt.reset();
         m_schedule.onCalled(now);
-        m_receivedBytes = 0;
-        m_callEndsBy = now + toUs(waitMs + m_options.answerTimeoutMs);
+        m_answer.start(now, toUs(waitMs));
+        m_callEndsBy = m_answer.endsAt();
     }
     auto finishSync() -> void
     {
@@ -508,11 +519,10 @@
     bool m_restoring = false;
     bool m_lost = false;
     retry_schedule m_schedule;
+    answer_deadline m_answer;
     std::optional<time_us> m_nextCallAt;
     /// When the call in progress is given up.
     std::optional<time_us> m_callEndsBy;
-    /// Part of the answer to the latest call that has arrived.
-    std::uint64_t m_receivedBytes = 0;
     time_us m_syncedAt;
     time_us m_expectingUntil;
     std::optional<time_us> m_removalGraceUntil;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -118,6 +118,19 @@
     CHECK(f.feed.items().empty());
 }
 
+TEST_CASE("an answer that brings a few bytes now and then is waited for without end")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.advance(0);
+    for (auto i = 0; i < 100; ++i) {
+        f.advance(100);
+        f.feed.onProgress(1);
+    }
+    CHECK(f.sink.abandoned > 0);
+}
+
 TEST_CASE("after a failure and a pause the watch resumes at its last revision")
 {
     fixture f;
--- a/src/directory/tests/virtualdirectory.h
+++ b/src/directory/tests/virtualdirectory.h
@@ -69,6 +69,9 @@
     std::int64_t heartbeatMs = 0;
     /// Each answer shows a generation of its own.
     bool alwaysRestored = false;
+    /// Size of an answer with the item, and what its link carries; 0 if it takes no time.
+    std::int64_t itemBytes = 0;
+    std::int64_t linkBytesPerMs = 0;
     std::uint64_t seed = 1;
 
     auto endMs() const -> std::int64_t
@@ -79,6 +82,11 @@
         }
         return last;
     }
+    /// How long an answer with the item takes to arrive.
+    auto transferMs() const -> std::int64_t
+    {
+        return linkBytesPerMs > 0 ? itemBytes / linkBytesPerMs : 0;
+    }
 };
 
 /// Plays a scenario in virtual time: a list_watch, its connection and the service behind it.
@@ -142,6 +150,7 @@
     static constexpr std::int64_t CONNECT_TIMEOUT_MS = 700;
     static constexpr std::int64_t SLOW_MS = 400;
     static constexpr std::int64_t TOO_SLOW_MS = 1'400;
+    static constexpr std::int64_t PROGRESS_STEP_MS = 20;
     static constexpr std::int64_t NEVER = INT64_MAX / 2;
 
     enum class connection_state { none, alive, dead };
@@ -156,6 +165,8 @@
         std::int64_t arrivesMs = NEVER;
         /// When the caller hears the outcome.
         std::int64_t endsMs = NEVER;
+        /// When the next part of the answer arrives.
+        std::int64_t progressMs = NEVER;
         completion outcome = completion::answer;
 
         auto waitsUntilMs() const -> std::int64_t { return startedMs + ONE_WAY_MS + waitMs; }
@@ -219,6 +230,7 @@
         if (m_call) {
             consider(m_call->arrivesMs);
             consider(m_call->endsMs);
+            consider(m_call->progressMs);
             consider(m_call->waitsUntilMs());
         }
         if (const auto timer = m_feed.nextTimer()) {
@@ -304,12 +316,18 @@
         m_connection = connection_state::dead;
         m_call->arrivesMs = NEVER;
         m_call->endsMs = NEVER;
+        m_call->progressMs = NEVER;
     }
     auto progressCall() -> void
     {
         if (m_call && m_call->arrivesMs <= m_nowMs && m_call->endsMs == NEVER) {
             serve(*m_call);
         }
+        if (m_call && m_call->progressMs <= m_nowMs && m_nowMs < m_call->endsMs) {
+            m_call->progressMs += PROGRESS_STEP_MS;
+            m_feed.onProgress(
+                static_cast<std::size_t>(m_scenario.linkBytesPerMs * PROGRESS_STEP_MS));
+        }
         if (m_call && m_call->endsMs <= m_nowMs) {
             const auto ended = *std::exchange(m_call, std::nullopt);
             ended.outcome == completion::answer ? deliver(ended) : fail();
@@ -338,6 +356,19 @@
             return;
         }
         served.endsMs = m_nowMs + ONE_WAY_MS + answerDelayMs();
+        if (m_scenario.linkBytesPerMs > 0 && bringsItem(served)) {
+            served.progressMs = served.endsMs;
+            served.endsMs += m_scenario.transferMs();
+        }
+    }
+    auto bringsItem(const call_state &served) const -> bool
+    {
+        if (served.kind == directory_call::list) {
+            return true;
+        }
+        const auto changes = changesAfter(served.after);
+        return std::any_of(changes.begin(), changes.end(),
+                           [](const auto &change) { return change.key == ITEM; });
     }
     auto deliver(const call_state &ended) -> void
     {
--- a/src/framework/global/retryschedule.h
+++ b/src/framework/global/retryschedule.h
@@ -16,7 +16,8 @@
     std::int64_t minRetryUs = 150 * US_PER_MS;
     std::int64_t maxRetryUs = 400 * US_PER_MS;
     std::int64_t maxBackoffUs = 400 * US_PER_MS;
-    /// Longest time from the start of a failed call to the next call.
+    /// Longest time from the start of a failed call, or the last part of its answer, to the next
+    /// call.
     std::int64_t maxReturnUs = 2'500 * US_PER_MS;
 };
 
@@ -24,9 +25,10 @@
 ///
 /// A dependency that has come back is noticed only by the next call, and it may have come back
 /// right after the start of the call that failed. So the pause is shortened by the time that the
-/// failed call took, and the next call starts within `maxReturnUs` of the return. Precondition:
-/// calls end sooner than that, and each uses a connection that was known to be alive when it
-/// started. Not thread safe.
+/// failed call took, and the next call starts within `maxReturnUs` of the return. Where part of an
+/// answer had arrived, the dependency was there until then, and only the time since counts.
+/// Precondition: calls end sooner than that, and each uses a connection that was known to be alive
+/// when it started. Not thread safe.
 class retry_schedule
 {
 public:
@@ -36,7 +38,13 @@
 
     /// Precondition: nothing has been called yet.
     auto start(time_us now) -> void { m_answeredAt = now; }
-    auto onCalled(time_us now) -> void { m_calledAt = now; }
+    auto onCalled(time_us now) -> void
+    {
+        m_calledAt = now;
+        m_presentAt = now;
+    }
+    /// Part of an answer has arrived.
+    auto onProgress(time_us now) -> void { m_presentAt = now; }
     auto onAnswered(time_us now) -> void
     {
         m_answeredAt = now;
@@ -46,7 +54,7 @@
     auto onFailed(time_us now, random_source &random) -> time_us
     {
         ++m_failures;
-        const auto latest = std::max(now, m_calledAt + m_options.maxReturnUs);
+        const auto latest = std::max(now, m_presentAt + m_options.maxReturnUs);
         return std::min(now + backoffUs(random), latest);
     }
     /// Returns when to call again after an answer that could not be used.
@@ -77,6 +85,8 @@
 
     retry_schedule_options m_options;
     time_us m_calledAt;
+    /// The dependency may have been lost and come back at any time after this.
+    time_us m_presentAt;
     time_us m_answeredAt;
     std::uint32_t m_failures = 0;
 };
