A published document that takes longer to transfer than the time for an answer is read

The cause of the configuration that was never read, found elsewhere: document_watch, which hosts of one's own read their manifest and host list with, gave a call up a fixed time after its wait, while the answer was arriving. http_fetch takes an answer_deadline, and the pause after a failure counts from the last part of the answer. The test failed before.

--- a/src/configuration/tests/documentwatchtests.cpp
+++ b/src/configuration/tests/documentwatchtests.cpp
@@ -26,6 +26,40 @@
     bool silent = false;
 };
 
+/// A service whose answer takes long to arrive, bit by bit.
+struct slow_document_service
+{
+    using session = http_session<slow_document_service>;
+    static constexpr int PARTS = 10;
+
+    explicit slow_document_service(boost::asio::io_context &context)
+        : timer(context)
+    { }
+    auto onRequest(const std::shared_ptr<session> &from) -> void
+    {
+        from->startStream({});
+        send(from, PARTS);
+    }
+    auto send(const std::shared_ptr<session> &to, int left) -> void
+    {
+        if (left == 0) {
+            to->finishStream();
+            return;
+        }
+        to->sendChunk(std::string(4'096, 'd'));
+        timer.expires_after(std::chrono::milliseconds(40));
+        timer.async_wait([this, to, left](boost::system::error_code error) {
+            if (!error) {
+                send(to, left - 1);
+            }
+        });
+    }
+    auto onDrained(session &) -> void { }
+    auto onClosed(session &) -> void { }
+    auto refusal(int status) -> http_response { return {.status = status}; }
+    boost::asio::steady_timer timer;
+};
+
 /// Refuses every document.
 struct refusing_owner
 {
@@ -94,3 +128,25 @@
     CHECK(options.retry.maxReturnUs + std::chrono::microseconds(options.answerTimeout).count()
           < BOUND_US);
 }
+
+// The time for an answer did not grow with its size, so that a long one was given up again and
+// again while it was arriving.
+TEST_CASE("a document that takes longer to transfer than the time for an answer is never read")
+{
+    using std::chrono::milliseconds;
+    boost::asio::io_context context;
+    slow_document_service service(context);
+    http_server<slow_document_service> server(context, service, {});
+    const auto where = server.listen({});
+    REQUIRE(where.has_value());
+    refusing_owner owner;
+    document_watch<refusing_owner> watch(context,
+                                         {.service = *where,
+                                          .path = "/v1/manifest",
+                                          .watchTimeout = milliseconds(100),
+                                          .answerTimeout = milliseconds(200)},
+                                         1, owner);
+    watch.start();
+    context.run_for(milliseconds(3'000));
+    CHECK(owner.refused >= 1);
+}
--- a/src/framework/http/httpfetch.h
+++ b/src/framework/http/httpfetch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/answerdeadline.h"
 #include "framework/http/httptypes.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +28,10 @@
     std::chrono::milliseconds readTimeout{30'000};
     /// Longest time until the response is complete; unset for streams.
     std::optional<std::chrono::milliseconds> totalTimeout;
+    /// Limits on the response that depend on its size, and how long it may be held back; unset if
+    /// the other limits are enough.
+    std::optional<answer_deadline_options> answer;
+    std::int64_t answerWaitUs = 0;
 };
 
 /// Receives a response as it arrives; all callbacks on the fetch's io_context. Refusing a body ends
@@ -70,6 +75,10 @@
         if (m_options.totalTimeout) {
             m_endAt = clock::now() + *m_options.totalTimeout;
         }
+        if (m_options.answer) {
+            m_answer.emplace(*m_options.answer);
+            m_answer->start(m_clock.now(), m_options.answerWaitUs);
+        }
         boost::system::error_code error;
         const auto address = boost::asio::ip::make_address(where.address, error);
         m_stream.expires_after(m_options.connectTimeout);
@@ -141,8 +150,15 @@
         }
         m_parser->get().body().data = m_bytes.data();
         m_parser->get().body().size = m_bytes.size();
-        const auto silentUntil = clock::now() + m_options.readTimeout;
-        m_stream.expires_at(m_endAt ? std::min(silentUntil, *m_endAt) : silentUntil);
+        auto until = clock::now() + m_options.readTimeout;
+        if (m_endAt) {
+            until = std::min(until, *m_endAt);
+        }
+        if (m_answer) {
+            until
+                = std::min(until, clock::now() + durationUntil(m_answer->endsAt(), m_clock.now()));
+        }
+        m_stream.expires_at(until);
         boost::beast::http::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = this->shared_from_this()](boost::system::error_code e, std::size_t) {
@@ -170,6 +186,9 @@
             }
         }
         const auto size = m_bytes.size() - m_parser->get().body().size;
+        if (m_answer && size > 0) {
+            m_answer->onProgress(m_clock.now(), size);
+        }
         const auto refused
             = m_parser->is_header_done() && size > 0
               && m_sink->onBody(std::string_view(m_bytes.data(), size)) == body_verdict::refuse;
@@ -215,6 +234,8 @@
     Sink *m_sink;
     fetch_options m_options;
     std::optional<clock::time_point> m_endAt;
+    system_clock_source m_clock;
+    std::optional<answer_deadline> m_answer;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer{UNPARSED_LIMIT_BYTES};
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
--- a/src/publications/documentwatch.h
+++ b/src/publications/documentwatch.h
@@ -17,7 +17,7 @@
     std::string path;
     /// Longest time for which the service holds a watch without a newer version.
     std::chrono::milliseconds watchTimeout{2'000};
-    /// Time for an answer beyond that.
+    /// Time until an answer begins, beyond that, and between its parts.
     std::chrono::milliseconds answerTimeout{900};
     /// Processes start to read at the same moment: the pauses are drawn from a wide range. A
     /// service that is back is read in time for a document to be in force everywhere within 5 s.
@@ -65,6 +65,7 @@
             return body_verdict::refuse;
         }
         m_body.append(bytes);
+        m_schedule.onProgress(m_clock.now());
         return body_verdict::take;
     }
     auto onDone(const fetch_outcome &outcome) -> void
@@ -104,10 +105,11 @@
         if (longPoll) {
             target += "&wait_ms=" + std::to_string(m_options.watchTimeout.count());
         }
-        const auto wait = longPoll ? m_options.watchTimeout : std::chrono::milliseconds{};
-        const auto timeout = wait + m_options.answerTimeout;
         m_fetch = std::make_shared<http_fetch<document_watch>>(
-            m_context, *this, fetch_options{.readTimeout = timeout, .totalTimeout = timeout});
+            m_context, *this,
+            fetch_options{.answer = answer_deadline_options{.silenceUs = toUs(
+                                                                m_options.answerTimeout.count())},
+                          .answerWaitUs = longPoll ? toUs(m_options.watchTimeout.count()) : 0});
         m_fetch->start(m_options.service, {.target = std::move(target)});
     }
     auto scheduleRead(std::int64_t pauseUs) -> void
