A report counts from when it was made, not from when it arrives

What callers saw, or could see: after an entry had stood still, a stream was resumed at a server that had started anew with another software version meanwhile; held events of such a process were passed on; a stream without framing was ended as complete.

Cause: reports were dated by their arrival. Those that had waited in the entry's socket, whose buffer keeps the oldest when it is full, or on a full link, seemed to be of now; so did an answer of the server that had waited at a reporter that stood still, and a report with a room reply counted as fresh whatever the age of the poll behind it. The class: the time of arrival taken for the time of observation.

Why the fix works: an entry's request for reports carries its own time, which the reports that follow state together with the time since it came. So the entry knows the longest time that a report can have been on its way, without a common clock. A server has answered its reporter when it was asked, not when the answer was read. isProcessCurrent and hasAnsweredSince use this time; a report that states no request of this process shows nothing about the present process.

Tests: reportcoretests, reportsdutytests (a report made a second before it arrives), and softwareversiontests of serverviews and forwarding.

--- a/src/forwarding/tests/softwareversiontests.cpp
+++ b/src/forwarding/tests/softwareversiontests.cpp
@@ -185,6 +185,12 @@
         f.core.onReplaced("i-e");
         CHECK(f.cut());
     }
+    SUBCASE("its report was made before the repeat was sent")
+    {
+        f.core.onReport("i-e", {.bornUnixMs = 1, .delayMs = 40});
+        f.advance(501);
+        CHECK(f.cut());
+    }
     SUBCASE("its reporter falls silent")
     {
         f.core.onReport("i-e", {.bornUnixMs = 1, .answeredAgoMs = 40});
--- a/src/innerprotocol/reportframes.h
+++ b/src/innerprotocol/reportframes.h
@@ -17,6 +17,8 @@
     /// 0 if the entry doesn't know it.
     std::int64_t bornUnixMs = 0;
     server_software software;
+    /// Time of the entry's clock; the reports that follow state it.
+    std::int64_t sentAtUs = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -24,6 +26,7 @@
         visit(self.host);
         visit(self.bornUnixMs);
         visit(self.software);
+        visit(self.sentAtUs);
     }
 };
 
@@ -67,8 +70,13 @@
     /// no such limit, and for how long the server is cold.
     std::uint64_t coldMilliPerSecond = 0;
     std::int64_t coldForMs = 0;
-    /// Time since the backend server last answered the reporter.
+    /// Time since the backend server last answered the reporter, counted from the question.
     std::int64_t answeredAgoMs = 0;
+    /// The latest request for reports that the reporter has got from this entry: its `sentAtUs`, 0
+    /// if there is none, and the time since it came. An entry can't tell by the arrival of a report
+    /// when it was made: it may have waited on the way, or in the entry's socket.
+    std::int64_t requestSentAtUs = 0;
+    std::int64_t requestAgoMs = 0;
 
     template <typename Self, typename Visitor>
     static auto visitFields(Self &self, Visitor &&visit) -> void
@@ -98,6 +106,8 @@
         visit(self.coldMilliPerSecond);
         visit(self.coldForMs);
         visit(self.answeredAgoMs);
+        visit(self.requestSentAtUs);
+        visit(self.requestAgoMs);
     }
 };
 
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -65,6 +65,20 @@
             .answeredAgoMs = frame.answeredAgoMs};
 }
 
+/// Longest time that a report may have been on its way, by the request of this process that it
+/// states. Nullopt if it states none: nothing shows then when it was made.
+auto delayOf(const server_report_frame &frame, time_us startedAt, time_us now)
+    -> std::optional<std::int64_t>
+{
+    const time_us requestedAt{frame.requestSentAtUs};
+    if (requestedAt < startedAt || requestedAt > now) {
+        return std::nullopt;
+    }
+    const auto madeAt = requestedAt + toUs(std::max<std::int64_t>(0, frame.requestAgoMs));
+    const auto delayUs = std::max<std::int64_t>(0, now - madeAt);
+    return (delayUs + US_PER_MS - 1) / US_PER_MS;
+}
+
 } // namespace
 
 struct reports_duty::impl
@@ -301,7 +315,7 @@
         reports.push(room_replied{.askId = reply.askId,
                                   .verdict = reply.verdict,
                                   .serverId = state->serverId,
-                                  .report = toReport(reply.report),
+                                  .report = received(reply.report),
                                   .expectedWaitMs = reply.expectedWaitMs});
     }
     static auto isOfOtherProcess(const reporter_state &state, const server_report_frame &report)
@@ -403,7 +417,13 @@
         }
         state.sequence = report.sequence;
         metrics.add(reports_metric::reports_heard);
-        reports.push(server_reported{.serverId = state.serverId, .report = toReport(report)});
+        reports.push(server_reported{.serverId = state.serverId, .report = received(report)});
+    }
+    auto received(const server_report_frame &frame) const -> server_report
+    {
+        auto out = toReport(frame);
+        out.delayMs = delayOf(frame, startedAt, clock.now());
+        return out;
     }
     auto requestReport(reporter_state &state) -> void
     {
@@ -412,7 +432,8 @@
         socket.send(state.reporter,
                     report_request_frame{.host = options.host,
                                          .bornUnixMs = state.software ? state.bornUnixMs : 0,
-                                         .software = state.software.value_or(server_software{})});
+                                         .software = state.software.value_or(server_software{}),
+                                         .sentAtUs = clock.now().value});
         if (state.observationRequests < OBSERVATION_REQUEST_COUNT) {
             ++state.observationRequests;
             socket.send(state.reporter, observations_request_frame{.host = options.host});
@@ -439,6 +460,8 @@
     reports_options options;
     process_state &state;
     system_clock_source clock;
+    /// A request that was sent before is not of this process.
+    const time_us startedAt = clock.now();
     metric_set<reports_metric> &metrics;
     duty worker{"reports"};
     ring_reader<servers_changed, reports_duty> servers;
--- a/src/reporting/reportcore.h
+++ b/src/reporting/reportcore.h
@@ -140,8 +140,9 @@
         m_report.server = std::move(server);
     }
 
-    /// Registers an entry for reports; a new one gets the latest report at once.
-    auto onReportRequest(const endpoint &listener) -> void
+    /// Registers an entry for reports; a new one gets the latest report at once. Its reports state
+    /// `sentAtUs`, see server_report_frame.
+    auto onReportRequest(const endpoint &listener, std::int64_t sentAtUs = 0) -> void
     {
         const auto now = m_clock.now();
         expireListeners(now);
@@ -152,9 +153,9 @@
             return;
         }
         const auto missedNone = known && now - found->second.askedAt < m_options.listenerGapUs;
-        m_listeners.insert_or_assign(key, listener_state{listener, now});
+        m_listeners.insert_or_assign(key, listener_state{listener, now, sentAtUs});
         if (!known && m_polled) {
-            m_sink.send(listener, nextReport());
+            m_sink.send(listener, addressed(nextReport(), listener));
             announceTo(listener);
         }
         const auto repeatSince = now + -m_options.observationRepeatUs;
@@ -334,12 +335,15 @@
             publish(true);
         }
     }
+    /// The server is asked for a report.
+    auto onPoll() -> void { m_askedAt = m_clock.now(); }
     auto onReport(const server_report &seen) -> void
     {
         const auto changed = !m_report.answering || m_report.bornUnixMs != seen.bornUnixMs;
         detectStart(seen);
         m_report.answering = true;
-        m_answeredAt = m_clock.now();
+        // The answer may have waited while the reporter stood still.
+        m_answeredAt = m_askedAt.value_or(m_clock.now());
         m_report.leaving = seen.state == server_state::leaving;
         m_report.leavesKnown = seen.leavesMs.has_value();
         m_report.leavesMs = seen.leavesMs.value_or(0);
@@ -386,6 +390,8 @@
     {
         endpoint where;
         time_us askedAt;
+        /// When it sent that request, by its own clock.
+        std::int64_t sentAtUs = 0;
     };
     /// Memory granted to a request that the server doesn't list yet.
     struct grant_state
@@ -550,7 +556,7 @@
         m_sink.send(to.from,
                     room_reply_frame{.askId = to.asked.askId,
                                      .verdict = verdict,
-                                     .report = nextReport(),
+                                     .report = addressed(nextReport(), to.from),
                                      .expectedWaitMs = waits ? expectedWaitMs(to, now) : -1});
     }
     /// Grants or refuses a request that may wait, or queues it.
@@ -779,9 +785,18 @@
         expireListeners(now);
         const auto report = nextReport();
         for (const auto &[key, listener] : m_listeners) {
-            m_sink.send(listener.where, report);
+            m_sink.send(listener.where, addressed(report, listener.where));
         }
     }
+    /// Adds to a report what shows the entry that gets it when it was made.
+    auto addressed(server_report_frame report, const endpoint &to) const -> server_report_frame
+    {
+        if (const auto found = m_listeners.find(toText(to)); found != m_listeners.end()) {
+            report.requestSentAtUs = found->second.sentAtUs;
+            report.requestAgoMs = (m_clock.now() - found->second.askedAt) / US_PER_MS;
+        }
+        return report;
+    }
     auto nextReport() -> server_report_frame
     {
         ++m_report.sequence;
@@ -821,7 +836,8 @@
     std::optional<incoming_move> m_incomingMove;
     std::uint32_t m_unansweredPolls = 0;
     bool m_polled = false;
-    /// When the server last answered a poll.
+    /// When the latest poll was sent, and the latest that the server has answered.
+    std::optional<time_us> m_askedAt;
     time_us m_answeredAt{INT64_MIN / 2};
     time_us m_leavingSince;
     /// Unread prompts in the last report sent.
--- a/src/reporting/reporterduty.h
+++ b/src/reporting/reporterduty.h
@@ -96,7 +96,7 @@
     {
         if (const auto *wanted = std::get_if<report_request_frame>(&message)) {
             m_core.onServerSoftware(wanted->bornUnixMs, wanted->software);
-            m_core.onReportRequest(from);
+            m_core.onReportRequest(from, wanted->sentAtUs);
         } else if (const auto *asked = std::get_if<room_request_frame>(&message)) {
             m_core.onRoomRequest(from, *asked);
         } else if (const auto *withdrawn = std::get_if<room_withdrawal_frame>(&message)) {
@@ -166,6 +166,9 @@
         m_identity.reset();
         m_retryAfterMs.reset();
         m_load.reset();
+        if (m_query == reporter_query::report) {
+            m_core.onPoll();
+        }
         if (!m_channel) {
             const std::chrono::milliseconds limit(m_options.answerTimeoutMs);
             m_channel = std::make_shared<channel>(
--- a/src/reporting/tests/reportcoretests.cpp
+++ b/src/reporting/tests/reportcoretests.cpp
@@ -720,3 +720,41 @@
     }
     CHECK(f.sink.reports.size() - before <= POLLS * 30 / 80);
 }
+
+// An entry that stands still finds reports in its socket afterwards, and can't tell by their
+// arrival when they were made.
+TEST_CASE("a report does not state when it was made")
+{
+    constexpr std::int64_t SENT_AT_US = 77;
+    fixture f;
+    f.core.onReport({.capacityTokens = 100});
+    f.core.onReportRequest(f.entry, SENT_AT_US);
+    REQUIRE(f.sink.reports.size() == 1);
+    CHECK(f.sink.reports.back().requestSentAtUs == SENT_AT_US);
+    CHECK(f.sink.reports.back().requestAgoMs == 0);
+    f.advance(500);
+    f.core.onReport({.capacityTokens = 100});
+    REQUIRE(f.sink.reports.size() == 2);
+    CHECK(f.sink.reports.back().requestSentAtUs == SENT_AT_US);
+    CHECK(f.sink.reports.back().requestAgoMs == 500);
+    f.advance(100);
+    f.ask("r1", 10, 5);
+    CHECK(f.sink.replies.back().report.requestSentAtUs == SENT_AT_US);
+    CHECK(f.sink.replies.back().report.requestAgoMs == 600);
+    // An entry that has not asked for reports yet.
+    f.entry.address = "10.0.0.8";
+    f.ask("r2", 10, 5);
+    CHECK(f.sink.replies.back().report.requestSentAtUs == 0);
+}
+
+// The answer had waited at the reporter, which stood still, while the server started anew.
+TEST_CASE("a server's answer counts as given when its reporter reads it")
+{
+    fixture f;
+    f.core.onReportRequest(f.entry, 1);
+    f.core.onPoll();
+    f.advance(3'000);
+    f.core.onReport({.capacityTokens = 100});
+    REQUIRE_FALSE(f.sink.reports.empty());
+    CHECK(f.sink.reports.back().answeredAgoMs == 3'000);
+}
--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
+#include <tuple>
 
 using namespace marjoram;
 
@@ -60,11 +61,17 @@
 
     auto onDatagram(const endpoint &from, const frame &message) -> void
     {
-        if (std::holds_alternative<report_request_frame>(message)) {
+        if (const auto *wanted = std::get_if<report_request_frame>(&message)) {
+            if (m_requestSentAtUs == 0) {
+                m_requestSentAtUs = wanted->sentAtUs;
+                m_requestedAt = m_clock.now();
+            }
+            m_heldMs = (m_clock.now() - m_requestedAt) / US_PER_MS;
             m_socket.send(from, server_report_frame{.server = "127.0.0.1:80",
                                                     .sequence = ++m_sequence,
                                                     .answering = true,
-                                                    .bornUnixMs = BORN});
+                                                    .bornUnixMs = BORN,
+                                                    .requestSentAtUs = m_requestSentAtUs});
             if (std::exchange(m_awaitsRequest, false)) {
                 m_context.stop();
             }
@@ -74,11 +81,21 @@
     {
         if (const auto *reported = std::get_if<server_reported>(&event)) {
             m_reported = reported->serverId;
+            m_delayMs = reported->report.delayMs;
             m_context.stop();
         } else if (const auto *replaced = std::get_if<server_replaced>(&event)) {
             m_replaced.push_back(replaced->serverId);
         }
     }
+    /// Waits for a report that was made at the entry's first request, and has been held since then
+    /// for as long as is returned first; the second is what the duty makes of it.
+    auto heldReport() -> std::pair<std::int64_t, std::optional<std::int64_t>>
+    {
+        REQUIRE_FALSE(awaitReport().empty());
+        return {m_heldMs, m_delayMs};
+    }
+    /// The reports that follow state a request of an earlier process.
+    auto stateEarlierRequest() -> void { m_requestSentAtUs = 1; }
     auto replacedServers() const -> const std::vector<std::string> & { return m_replaced; }
 
 private:
@@ -116,6 +133,12 @@
     std::uint64_t m_sequence = 0;
     bool m_awaitsRequest = false;
     std::string m_reported;
+    std::optional<std::int64_t> m_delayMs;
+    /// What the reports state of the entry's first request.
+    std::int64_t m_requestSentAtUs = 0;
+    system_clock_source m_clock;
+    time_us m_requestedAt;
+    std::int64_t m_heldMs = 0;
     std::vector<std::string> m_replaced;
 };
 
@@ -152,3 +175,19 @@
                       reports_fixture::entryOf("c-odd", 0)});
     CHECK(f.replacedServers() == std::vector<std::string>{"a-ended"});
 }
+
+// After a standstill the datagrams of that time were read from the socket, and counted as made then.
+TEST_CASE("a report that has waited on its way counts as made when it arrives")
+{
+    constexpr std::int64_t HELD_MS = 500;
+    reports_fixture f;
+    REQUIRE_FALSE(f.reportedServer({reports_fixture::entryOf("a", BORN)}).empty());
+    auto [heldMs, delayMs] = f.heldReport();
+    while (heldMs < HELD_MS) {
+        std::tie(heldMs, delayMs) = f.heldReport();
+    }
+    REQUIRE(delayMs.has_value());
+    CHECK(*delayMs >= heldMs);
+    f.stateEarlierRequest();
+    CHECK_FALSE(f.heldReport().second.has_value());
+}
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -145,7 +145,9 @@
     }
     view->report = std::move(report);
     view->reportAt = now;
-    view->answeredAt = now + -toUs(view->report->answeredAgoMs);
+    if (const auto delayMs = view->report->delayMs) {
+        view->answeredAt = now + -toUs(*delayMs) + -toUs(view->report->answeredAgoMs);
+    }
     view->sentSinceReport = 0;
     view->tokensSinceReport = 0;
     onReportedRateLimit(*view, now);
@@ -540,7 +542,7 @@
     // Once a reporter has been heard, its silence may be that of the server's host.
     const auto born = view.report->bornUnixMs;
     const auto listed = born == 0 || view.entry.bornUnixMs == 0 || born == view.entry.bornUnixMs;
-    return now - view.reportAt < m_options.processReportMaxAgeUs && view.report->answering
+    return now - view.answeredAt < m_options.processReportMaxAgeUs && view.report->answering
            && listed;
 }
 
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -52,7 +52,8 @@
     /// Longest time for which a server is believed to stay cold.
     std::int64_t maxColdUs = 600 * US_PER_SECOND;
     software_history_options software;
-    /// A report that is older doesn't show that a server's process is the listed one.
+    /// An answer of a server to its reporter that is older doesn't show that its process is the
+    /// listed one.
     std::int64_t processReportMaxAgeUs = 1 * US_PER_SECOND;
 };
 
--- a/src/serverviews/serverentry.h
+++ b/src/serverviews/serverentry.h
@@ -132,6 +132,8 @@
     std::int64_t coldForMs = 0;
     /// Time since the server last answered its reporter, when the report was sent.
     std::int64_t answeredAgoMs = 0;
+    /// Time from the sending of the report to its arrival, at most; unset if nothing shows it.
+    std::optional<std::int64_t> delayMs = 0;
 };
 
 /// Load reported with a response.
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -43,7 +43,7 @@
     work_pace pace;
     std::optional<server_report> report;
     time_us reportAt;
-    /// When the process last answered its reporter.
+    /// When the process last answered its reporter, at the least.
     time_us answeredAt{INT64_MIN / 2};
     /// Requests of this process that are in progress there.
     std::uint32_t inFlight = 0;
--- a/src/serverviews/tests/softwareversiontests.cpp
+++ b/src/serverviews/tests/softwareversiontests.cpp
@@ -86,6 +86,18 @@
     {
         directory.onServerList({entryOf("a", "v1", 1), entryOf("b", "v2", 9)}, {});
     }
+    SUBCASE("what its reporter sent has waited while this process stood still")
+    {
+        directory.onReport("b", {.bornUnixMs = 2, .delayMs = 1'500}, {});
+    }
+    SUBCASE("nothing shows when its reporter sent this")
+    {
+        directory.onReport("b", {.bornUnixMs = 2, .delayMs = std::nullopt}, {});
+    }
+    SUBCASE("its reporter stood still after it had asked")
+    {
+        directory.onReport("b", {.bornUnixMs = 2, .answeredAgoMs = 1'500}, {});
+    }
     CHECK_FALSE(mayContinue(directory, origin, "b"));
 }
 
