A server whose reporter has not been heard is not taken for the listed process

It resumed a stream at a server that had started anew with another version some milliseconds before, and ended a stream without framing as complete though its server had ended with the stream.

Cause: no report was taken for no reporter. The class: what has not been heard taken for what does not exist.

Why the fix works: the duty that asks reporters knows which servers have none: those that have not answered five requests, in pools of which no reporter was ever heard. It tells the decisions so; until then a server's reporter is awaited, its process is not known to be the listed one, and a stream that its connection ended is undecided for half a second and then cut. Servers of a pool all have a reporter, or none, so that a silent one does not become absent.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -107,6 +107,8 @@
         decideEndsOn(id);
         decideHeldOn(id);
     }
+    /// The server has no reporter.
+    auto onReporterAbsent(const std::string &id) -> void { m_servers.onReporterAbsent(id); }
     auto onReport(const std::string &id, server_report report) -> void
     {
         m_entryCount.onReport(report.listeners, m_clock.now());
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -54,6 +54,11 @@
 {
     std::string serverId;
 };
+/// A backend server has no reporter.
+struct reporter_absent
+{
+    std::string serverId;
+};
 /// What other entries have seen of their runs.
 struct observations_received
 {
@@ -73,8 +78,9 @@
     std::string reporter;
     stream_origin origin;
 };
-using report_event = std::variant<server_reported, room_replied, server_announced, server_replaced,
-                                  observations_received, origin_asked, origin_replied>;
+using report_event
+    = std::variant<server_reported, room_replied, server_announced, server_replaced,
+                   reporter_absent, observations_received, origin_asked, origin_replied>;
 
 /// Whether the service that publishes the list of backend servers answers.
 struct list_availability_changed
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -33,7 +33,7 @@
         , reports(worker.context(), rings.fromReports, owner)
         , reporterCommands(worker.context(), rings.toReports, BACKLOG_LIMIT)
         , timer(worker.context())
-        , directory({}, systemSeed())
+        , directory({.awaitReporters = true}, systemSeed())
         , core(std::move(options), clock, systemSeed(), directory, *this)
     { }
 
@@ -280,6 +280,8 @@
         m_impl->core.onReplaced(replaced->serverId);
     } else if (const auto *received = std::get_if<observations_received>(&event)) {
         m_impl->core.onObservations(received->observations);
+    } else if (const auto *absent = std::get_if<reporter_absent>(&event)) {
+        m_impl->core.onReporterAbsent(absent->serverId);
     } else if (const auto *asked = std::get_if<origin_asked>(&event)) {
         m_impl->core.onOriginAsked(*asked);
     } else if (const auto *origin = std::get_if<origin_replied>(&event)) {
--- a/src/forwarding/serverobserver.h
+++ b/src/forwarding/serverobserver.h
@@ -30,6 +30,12 @@
         logRateLimitChange(id, limitBefore, "report");
         return becameLeaving;
     }
+    auto onReporterAbsent(const std::string &id) -> void
+    {
+        if (m_directory.onReporterAbsent(id)) {
+            m_sink.log(log_event::server_unreported, {}, {{"server", id}});
+        }
+    }
     auto onReplaced(const std::string &id) -> void
     {
         if (m_directory.onReplaced(id)) {
--- a/src/forwarding/streamend.h
+++ b/src/forwarding/streamend.h
@@ -56,11 +56,12 @@
     if (hasAnsweredSince(*view, endedAt, options)) {
         return stream_end::complete;
     }
-    // A reporter that was heard before and is silent since may have ended with the server.
-    if (view->report && now - endedAt < options.confirmationUs) {
+    // A reporter that is silent may have ended with the server.
+    const auto hasReporter = view->report || view->reporterAwaited;
+    if (hasReporter && now - endedAt < options.confirmationUs) {
         return stream_end::undecided;
     }
-    return view->report || view->leaving() ? stream_end::cut : stream_end::complete;
+    return hasReporter || view->leaving() ? stream_end::cut : stream_end::complete;
 }
 
 } // namespace marjoram
--- a/src/forwarding/tests/stoppedstreamtests.cpp
+++ b/src/forwarding/tests/stoppedstreamtests.cpp
@@ -231,3 +231,15 @@
     CHECK(f.sink.callers<end_response_stream>().empty());
     CHECK(f.sink.callers<abort_response_stream>().size() == 1);
 }
+
+// An entry that had just started had no report of a server, whose reporter stood still.
+TEST_CASE("a stream ends as complete though the reporter of its server has not been heard yet")
+{
+    const stream_end_options options;
+    const server_view awaited{.reporterAwaited = true};
+    CHECK(decideStreamEnd(&awaited, {}, {}, options) == stream_end::undecided);
+    CHECK(decideStreamEnd(&awaited, {}, time_us{options.confirmationUs}, options)
+          == stream_end::cut);
+    const server_view withoutReporter;
+    CHECK(decideStreamEnd(&withoutReporter, {}, {}, options) == stream_end::complete);
+}
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -88,6 +88,10 @@
         std::string serverId;
         std::int64_t bornUnixMs = 0;
         endpoint reporter;
+        /// Empty if the published list has not named the server yet.
+        std::string pool;
+        /// It has answered since the server's process became known.
+        bool heard = false;
         /// As the published list states it; unset if it states none.
         std::optional<server_software> software;
         std::uint64_t sequence = 0;
@@ -134,6 +138,7 @@
                                                .reporter = {.address = entry.address.address,
                                                             .port = options.reporterPort}};
             state.software = statedSoftware(entry);
+            state.pool = entry.pool;
             if (!same) {
                 requestReport(state);
             }
@@ -303,7 +308,7 @@
         }
         markReplaced(reply.report);
         auto *state = states.front();
-        state->unansweredRequests = 0;
+        noteHeard(*state);
         if (isOfOtherProcess(*state, reply.report)) {
             reports.push(room_replied{.askId = reply.askId,
                                       .verdict = room_verdict::not_answering,
@@ -318,6 +323,20 @@
                                   .report = received(reply.report),
                                   .expectedWaitMs = reply.expectedWaitMs});
     }
+    auto noteHeard(reporter_state &reporter) -> void
+    {
+        reporter.unansweredRequests = 0;
+        reporter.heard = true;
+        if (!reporter.pool.empty()) {
+            reportingPools.insert(reporter.pool);
+        }
+    }
+    /// Whether a reporter may be there that is silent: the servers of a pool all have one, or none.
+    auto mayExist(const reporter_state &reporter) const -> bool
+    {
+        return reporter.heard || reporter.pool.empty() || reportingPools.contains(reporter.pool)
+               || reporter.unansweredRequests < options.unansweredRequestLimit;
+    }
     static auto isOfOtherProcess(const reporter_state &state, const server_report_frame &report)
         -> bool
     {
@@ -410,7 +429,7 @@
     {
         // A restarted reporter counts from 1 again.
         const auto stale = report.sequence <= state.sequence && report.sequence > 1;
-        state.unansweredRequests = 0;
+        noteHeard(state);
         if (isOfOtherProcess(state, report) || stale) {
             metrics.add(reports_metric::reports_stale);
             return;
@@ -448,6 +467,9 @@
                 || round % options.retryRounds == 0) {
                 requestReport(reporter);
             }
+            if (!mayExist(reporter)) {
+                reports.push(reporter_absent{reporter.serverId});
+            }
         }
         timer.expires_after(std::chrono::microseconds(options.requestIntervalUs));
         timer.async_wait([this](boost::system::error_code error) {
@@ -471,6 +493,8 @@
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
     reporter_map reporters;
+    /// Pools of which a server's reporter has been heard.
+    std::set<std::string> reportingPools;
     std::uint64_t round = 0;
     random_source random{systemSeed()};
     announcement_set seenAnnouncements;
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -40,7 +40,8 @@
     /// Interval between requests for reports. A reporter stops sending to an entry that misses a
     /// few.
     std::int64_t requestIntervalUs = 1 * US_PER_SECOND;
-    /// Unanswered requests after which a server counts as having no reporter.
+    /// Unanswered requests after which a server of a pool without any reporter counts as having
+    /// none.
     std::uint32_t unansweredRequestLimit = 5;
     /// A server without a reporter is asked again only in every n-th round of requests. It may have
     /// one that could not be reached for a while.
--- a/src/serverviews/internal/serverdirectory.cpp
+++ b/src/serverviews/internal/serverdirectory.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-/// The entry states the remaining warm-up time when it is written; the view counts it down.
-auto makeView(const server_entry &entry, time_us now) -> server_view
-{
-    return {.entry = entry, .warmUpUntil = now + toUs(entry.warmUpLeftMs)};
-}
-
 /// An entry that states no start time is taken for one of the process that is known.
 auto sameProcess(const server_entry &known, const server_entry &entry) -> bool
 {
@@ -116,6 +110,14 @@
     }
 }
 
+/// The entry states the remaining warm-up time when it is written; the view counts it down.
+auto server_directory::makeView(const server_entry &entry, time_us now) const -> server_view
+{
+    return {.entry = entry,
+            .warmUpUntil = now + toUs(entry.warmUpLeftMs),
+            .reporterAwaited = m_options.awaitReporters};
+}
+
 auto server_directory::assignPool(server_view &view) const -> void
 {
     const auto *pool = m_table ? m_table->findPoolOf(view.announcedModels) : nullptr;
@@ -144,6 +146,7 @@
         view->shutdownAt = now + toUs(*report.leavesMs);
     }
     view->report = std::move(report);
+    view->reporterAwaited = false;
     view->reportAt = now;
     if (const auto delayMs = view->report->delayMs) {
         view->answeredAt = now + -toUs(*delayMs) + -toUs(view->report->answeredAgoMs);
@@ -162,6 +165,12 @@
     return becameLeaving;
 }
 
+auto server_directory::onReporterAbsent(const std::string &id) -> bool
+{
+    auto *view = findMutable(id);
+    return view && !view->report && std::exchange(view->reporterAwaited, false);
+}
+
 auto server_directory::onReplaced(const std::string &id) -> bool
 {
     auto *view = findMutable(id);
@@ -537,7 +546,7 @@
         return false;
     }
     if (!view.report) {
-        return m_listAvailable && !view.announced;
+        return m_listAvailable && !view.announced && !view.reporterAwaited;
     }
     // Once a reporter has been heard, its silence may be that of the server's host.
     const auto born = view.report->bornUnixMs;
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -55,6 +55,8 @@
     /// An answer of a server to its reporter that is older doesn't show that its process is the
     /// listed one.
     std::int64_t processReportMaxAgeUs = 1 * US_PER_SECOND;
+    /// Servers may have reporters, and onReporterAbsent() tells of those that have none.
+    bool awaitReporters = false;
 };
 
 /// Whether a stream can be continued somewhere.
@@ -144,6 +146,8 @@
     auto setTable(route_table_ptr table) -> void;
     /// Stores a server's report. Returns true if the server is now leaving and was not before.
     auto onReport(const std::string &id, server_report report, time_us now) -> bool;
+    /// The server has no reporter. Returns true if that was not known.
+    auto onReporterAbsent(const std::string &id) -> bool;
     /// A later process has been seen at the server's address; this one gets no more requests.
     /// Returns false if that was known or the server is unknown.
     auto onReplaced(const std::string &id) -> bool;
@@ -202,7 +206,8 @@
     auto continuationOf(const run_origin &origin, time_us now) const -> continuation;
     /// Whether the process at a server's address is known to be the one of its entry. A list lags
     /// behind, and may be out of reach; the server's reporter sees at once that its process is
-    /// gone.
+    /// gone. What has not been heard yet shows nothing: only a server without a reporter is trusted
+    /// by the list alone.
     auto isProcessCurrent(const server_view &view, time_us now) const -> bool;
     /// Whether servers of a pool state the version of their software.
     auto statesVersions(std::string_view pool) const -> bool;
@@ -244,6 +249,7 @@
     /// and after that until their entries may have been published.
     auto replacesList(time_us now) const -> bool;
     auto assignPool(server_view &view) const -> void;
+    auto makeView(const server_entry &entry, time_us now) const -> server_view;
     auto addView(const server_entry &entry, const server_view *predecessor, time_us now) const
         -> server_view;
     auto recordGone(const server_view &view, time_us now) -> void;
--- a/src/serverviews/serverview.h
+++ b/src/serverviews/serverview.h
@@ -43,6 +43,8 @@
     work_pace pace;
     std::optional<server_report> report;
     time_us reportAt;
+    /// Its reporter may exist and has not been heard since the process became known.
+    bool reporterAwaited = false;
     /// When the process last answered its reporter, at the least.
     time_us answeredAt{INT64_MIN / 2};
     /// Requests of this process that are in progress there.
--- a/src/serverviews/tests/softwareversiontests.cpp
+++ b/src/serverviews/tests/softwareversiontests.cpp
@@ -155,3 +155,27 @@
     CHECK(directory.statesVersions(directory.find("a")->entry.pool));
     CHECK_FALSE(directory.statesVersions("other"));
 }
+
+// An entry that had just started had no report of a server yet, and trusted the list, which lags
+// behind.
+TEST_CASE("a server whose reporter has not been heard yet is taken for the listed process")
+{
+    server_directory directory({.awaitReporters = true});
+    directory.onServerList({entryOf("a", "v1", 1), entryOf("b", "v1", 2)}, {});
+    const auto origin = originAt("a", "v1", 1);
+    CHECK_FALSE(mayContinue(directory, origin, "b"));
+    CHECK(directory.continuationOf(origin, {}) == continuation::later);
+    SUBCASE("it is heard")
+    {
+        directory.onReport("b", {.bornUnixMs = 2}, {});
+        CHECK(mayContinue(directory, origin, "b"));
+        CHECK_FALSE(directory.onReporterAbsent("b"));
+    }
+    SUBCASE("it does not exist")
+    {
+        CHECK(directory.onReporterAbsent("b"));
+        CHECK(mayContinue(directory, origin, "b"));
+        directory.onServerList({entryOf("a", "v1", 1), entryOf("b", "v1", 9)}, {});
+        CHECK_FALSE(mayContinue(directory, origin, "b"));
+    }
+}
