What an entry out of step does not know about a stream is not taken for unknown to all

Cause: the entry counted the reporters that it knew and could reach. 'All that were asked have replied' meant that nobody knows more, and 'the list has no such server' that there is none. The class: what an entry does not know taken for what does not exist.

Why the fix works: a stream began before its caller resumed it, at a server that was listed then. So a list that was read after the request names that server and its reporter. If what is known does not settle the origin, the entry reads the list at once (list_watch::refresh), asks the reporters that it names, and only then is the result settled. Reporters that are silent, and may exist, leave it preliminary. A run that made events decides only when settled; a delivered event decides at once. A preliminary refusal has a time to return. If the list is out of reach, the caller is refused at once.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -59,7 +59,7 @@
         : m_source(m_worker.context(), source, *this)
         , m_events(m_worker.context(), rings.fromDirectory, BACKLOG_LIMIT)
         , m_toReports(m_worker.context(), rings.directoryToReports, BACKLOG_LIMIT)
-        , m_announcements(m_worker.context(), rings.reportsToDirectory, *this)
+        , m_requests(m_worker.context(), rings.reportsToDirectory, *this)
         , m_timer(m_worker.context())
         , m_log(log)
         , m_state(state)
@@ -74,7 +74,7 @@
 
     auto start() -> void
     {
-        m_announcements.start();
+        m_requests.start();
         boost::asio::post(m_worker.context(), [this] {
             m_configurationConfirmedAt = m_clock.now();
             m_configuration.start();
@@ -91,21 +91,9 @@
 
     // --- called by the ring reader on the duty's thread
 
-    /// Reads the list sooner if it lacks a server that has just started.
-    auto handle(server_announced &&announced) -> void
+    auto handle(directory_request &&request) -> void
     {
-        const auto &started = announced.entry;
-        const auto listed = std::any_of(
-            m_servers.items().begin(), m_servers.items().end(), [&](const auto &named) {
-                const auto &entry = named.second.value;
-                return entry && entry->id == started.id && entry->bornUnixMs == started.bornUnixMs;
-            });
-        if (listed) {
-            return;
-        }
-        const auto until = m_clock.now() + LISTING_TIME_US;
-        m_awaited.insert_or_assign(started.id, until);
-        m_servers.expectChange(until);
+        std::visit([this](const auto &one) { on(one); }, request);
         scheduleTimer();
     }
 
@@ -148,7 +136,6 @@
     }
     auto onFailed(feed_kind kind, std::error_code error) -> void
     {
-        m_metrics.add(directory_metric::service_failures);
         m_lastError = error;
         kind == feed_kind::configuration ? m_configuration.onFailed() : m_servers.onFailed();
         scheduleTimer();
@@ -217,6 +204,27 @@
         }
     };
 
+    /// Reads the list sooner if it lacks a server that has just started.
+    auto on(const server_announced &announced) -> void
+    {
+        const auto &started = announced.entry;
+        const auto listed = std::any_of(
+            m_servers.items().begin(), m_servers.items().end(), [&](const auto &named) {
+                const auto &entry = named.second.value;
+                return entry && entry->id == started.id && entry->bornUnixMs == started.bornUnixMs;
+            });
+        if (listed) {
+            return;
+        }
+        const auto until = m_clock.now() + LISTING_TIME_US;
+        m_awaited.insert_or_assign(started.id, until);
+        m_servers.expectChange(until);
+    }
+    auto on(const list_wanted &wanted) -> void
+    {
+        m_listWantedSince = std::max(m_listWantedSince.value_or(wanted.since), wanted.since);
+        m_servers.refresh();
+    }
     auto onOperatorItem(const published<operator_item> &item) -> void
     {
         const auto *request = item.value ? std::get_if<evacuation_request>(&*item.value) : nullptr;
@@ -291,29 +299,34 @@
                 entries.push_back(*item.value);
             }
         }
-        if (m_serversListed && entries == m_lastServers) {
+        const auto readAt = m_servers.readAt();
+        const auto wanted = m_listWantedSince && *m_listWantedSince <= readAt;
+        if (wanted) {
+            m_listWantedSince.reset();
+        }
+        if (m_serversListed && entries == m_lastServers && !wanted) {
             return;
         }
         m_serversListed = true;
         m_lastServers = entries;
         m_metrics.set(directory_metric::directory_servers,
                       static_cast<std::int64_t>(entries.size()));
-        if (m_toReports.push(servers_changed{entries})) {
+        if (m_toReports.push(servers_changed{.servers = entries, .readAt = readAt})) {
             LOG(ERROR) << "server list dropped: backlog limit of the reports duty exceeded";
         }
-        publish(servers_changed{std::move(entries)});
+        publish(servers_changed{.servers = std::move(entries), .readAt = readAt});
         updateReady();
     }
     auto updateReady() -> void { m_state.ready = m_table != nullptr && m_serversListed; }
     auto abandon(feed_kind kind) -> void
     {
-        m_metrics.add(directory_metric::service_failures);
         m_lastError = make_error_code(feed_error::overdue);
         m_source.abandon(kind);
     }
     auto onAnswered(directory_metric metric) -> void { m_metrics.set(metric, m_clock.unixMs()); }
     auto onCallFailed(feed_kind kind, const call_failure &failure) -> void
     {
+        m_metrics.add(directory_metric::service_failures);
         m_log.write(log_event::directory_call_failed,
                     {{"feed", std::string(nameOf(kind))},
                      {"call", std::string(nameOf(failure.call))},
@@ -394,7 +407,7 @@
     source_type m_source;
     ring_writer<directory_event> m_events;
     ring_writer<servers_changed> m_toReports;
-    ring_reader<server_announced, directory_duty> m_announcements;
+    ring_reader<directory_request, directory_duty> m_requests;
     boost::asio::steady_timer m_timer;
     log_writer m_log;
     process_state &m_state;
@@ -412,6 +425,8 @@
     std::int64_t m_longestAgeMs = 0;
     std::vector<server_entry> m_lastServers;
     bool m_serversListed = false;
+    /// The list is wanted as it is from then on, also if it has not changed.
+    std::optional<time_us> m_listWantedSince;
     std::error_code m_lastError;
 };
 
--- a/src/directory/listwatch.h
+++ b/src/directory/listwatch.h
@@ -99,6 +99,8 @@
     std::int64_t restoreHoldUs = 0;
     /// How long a removed key is remembered for this.
     std::int64_t removedRetentionUs = 60 * US_PER_SECOND;
+    /// Shortest time between two calls that are made because of refresh().
+    std::int64_t minRefreshIntervalUs = 100 * US_PER_MS;
     /// Time after which outdated answers are believed if nothing else has come meanwhile.
     std::int64_t maxOutdatedUs = 10 * US_PER_SECOND;
 };
@@ -195,6 +197,7 @@
         }
         if (first) {
             m_listRevision = page.revision;
+            m_listCalledAt = m_schedule.calledAt();
         }
         const auto last = page.items.empty() ? std::string() : page.items.back().key;
         for (auto &item : page.items) {
@@ -214,6 +217,7 @@
         removeUnlisted();
         m_restoring = false;
         m_revision = m_listRevision;
+        m_readAt = m_listCalledAt;
         finishSync();
     }
     auto onChanges(std::vector<published<Item>> changes, std::uint64_t revision,
@@ -233,6 +237,7 @@
             receive(std::move(change));
         }
         m_revision = std::max(m_revision, revision);
+        m_readAt = m_schedule.calledAt();
         finishSync();
     }
     /// The history of changes is no longer available.
@@ -282,6 +287,13 @@
         }
     }
     auto endExpectation() -> void { m_expectingUntil = {}; }
+    /// Somebody needs all changes up to now: reads the service at once instead of waiting for its
+    /// next change. A service that has failed is not called sooner.
+    auto refresh() -> void
+    {
+        m_refreshAt = m_refreshAt.value_or(
+            std::max(m_clock.now(), m_refreshedAt + m_options.minRefreshIntervalUs));
+    }
 
     // --- timer
 
@@ -295,6 +307,9 @@
         if (!m_heldBack.empty() && !m_lost && (!next || m_heldBackUntil < *next)) {
             next = m_heldBackUntil;
         }
+        if (mayRefresh() && (!next || *m_refreshAt < *next)) {
+            next = m_refreshAt;
+        }
         return next;
     }
     auto onTimer() -> void
@@ -304,6 +319,12 @@
             m_sink.abandon();
             onFailed();
         }
+        if (mayRefresh() && *m_refreshAt <= now) {
+            if (m_callEndsBy) {
+                m_sink.abandon();
+            }
+            m_nextCallAt = now;
+        }
         if (m_nextCallAt && *m_nextCallAt <= now) {
             call();
         }
@@ -321,6 +342,8 @@
     auto items() const -> const std::map<std::string, published<Item>> & { return m_items; }
     auto revision() const -> std::uint64_t { return m_revision; }
     auto lost() const -> bool { return m_lost; }
+    /// Everything that was published before this is in items().
+    auto readAt() const -> time_us { return m_readAt; }
 
 private:
     /// Compares an answer with the known position. A restored history is adopted: all items have to
@@ -382,11 +405,18 @@
             list({});
         } else {
             // Whether the service was restored during an outage is shown only by an answer.
-            const auto waitMs = m_lost ? 0 : m_options.longPollMs;
+            const auto waitMs = m_lost || m_refreshAt ? 0 : m_options.longPollMs;
             beginCall(waitMs);
             m_sink.watch(m_revision, waitMs);
         }
     }
+    /// Whether refresh() can be followed now: no call is in progress, or one that waits for changes
+    /// and has got no part of its answer.
+    auto mayRefresh() const -> bool
+    {
+        const auto idle = !m_callEndsBy || (m_waits && m_answer.receivedBytes() == 0);
+        return m_refreshAt && idle && !m_lost;
+    }
     auto list(const std::string &after) -> void
     {
         beginCall(0);
@@ -397,6 +427,11 @@
         const auto now = m_clock.now();
         m_nextCallAt.reset();
         m_schedule.onCalled(now);
+        m_waits = waitMs > 0;
+        if (m_refreshAt) {
+            m_refreshedAt = now;
+            m_refreshAt.reset();
+        }
         m_answer.start(now, toUs(waitMs));
         m_callEndsBy = m_answer.endsAt();
     }
@@ -523,6 +558,14 @@
     std::optional<time_us> m_nextCallAt;
     /// When the call in progress is given up.
     std::optional<time_us> m_callEndsBy;
+    /// The call in progress is held by the service until there are changes.
+    bool m_waits = false;
+    /// Call that brought the first page of the listing, or the latest answer.
+    time_us m_listCalledAt;
+    time_us m_readAt{INT64_MIN / 2};
+    /// When the service is to be read for refresh(), and when it last was.
+    std::optional<time_us> m_refreshAt;
+    time_us m_refreshedAt{INT64_MIN / 2};
     time_us m_syncedAt;
     time_us m_expectingUntil;
     std::optional<time_us> m_removalGraceUntil;
--- a/src/directory/tests/listwatchtests.cpp
+++ b/src/directory/tests/listwatchtests.cpp
@@ -10,6 +10,7 @@
 {
     std::vector<std::string> lists;
     std::vector<std::uint64_t> watches;
+    std::int64_t lastWaitMs = -1;
     int abandoned = 0;
     int synced = 0;
     int lost = 0;
@@ -17,7 +18,11 @@
     std::vector<history_order> orders;
 
     auto list(const std::string &after) -> void { lists.push_back(after); }
-    auto watch(std::uint64_t revision, std::int64_t) -> void { watches.push_back(revision); }
+    auto watch(std::uint64_t revision, std::int64_t waitMs) -> void
+    {
+        watches.push_back(revision);
+        lastWaitMs = waitMs;
+    }
     auto abandon() -> void { ++abandoned; }
     auto onPublished(const published<int> &) -> void { }
     auto onSynced() -> void { ++synced; }
@@ -131,6 +136,40 @@
     CHECK(f.sink.abandoned > 0);
 }
 
+TEST_CASE("what is needed now is read when the service next changes")
+{
+    fixture f;
+    f.feed.start();
+    f.listed({"a"}, 5);
+    f.advance(0);
+    REQUIRE(f.sink.lastWaitMs > 0);
+    f.advance(1'000);
+    const auto wantedAt = f.time.now;
+    f.feed.refresh();
+    REQUIRE(f.feed.nextTimer() == wantedAt);
+    f.advance(0);
+    CHECK(f.sink.abandoned == 1);
+    CHECK(f.sink.watches.size() == 2);
+    CHECK(f.sink.lastWaitMs == 0);
+    CHECK(f.feed.readAt() < wantedAt);
+    f.advance(4);
+    f.feed.onChanges({}, 5);
+    CHECK(f.feed.readAt() == wantedAt);
+    CHECK(f.sink.lost == 0);
+    // The next one is not sooner than a tenth of a second later.
+    f.advance(0);
+    f.feed.refresh();
+    f.advance(50);
+    CHECK(f.sink.abandoned == 1);
+    f.advance(50);
+    CHECK(f.sink.abandoned == 2);
+    // A service that has failed is not called sooner.
+    f.feed.onFailed();
+    const auto next = f.feed.nextTimer();
+    f.feed.refresh();
+    CHECK(f.feed.nextTimer() == next);
+}
+
 TEST_CASE("after a failure and a pause the watch resumes at its last revision")
 {
     fixture f;
--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -64,7 +64,9 @@
     {
         m_directory.onListAvailability(available, m_clock.now());
     }
-    auto onServerList(const std::vector<server_entry> &entries) -> void
+    /// Everything that was published before `readAt` is in the list; unset if that is now.
+    auto onServerList(const std::vector<server_entry> &entries,
+                      std::optional<time_us> readAt = std::nullopt) -> void
     {
         const auto changes = m_directory.onServerList(entries, m_clock.now());
         for (const auto &id : changes.joined) {
@@ -82,6 +84,7 @@
         }
         m_servers.logColdChanges();
         endQuarantinedRequests();
+        m_origins.onList(readAt.value_or(m_clock.now()));
     }
     /// Takes the evacuated data centres. Generations that run there go on.
     auto onEvacuations(const data_centre_set &dataCentres) -> void
@@ -376,7 +379,7 @@
     }
     /// The origin of the stream that a caller resumes is known: it goes on in the pool that began
     /// it.
-    auto onOriginKnown(request_state &request) -> void
+    auto onOriginKnown(request_state &request, origin_certainty certainty) -> void
     {
         const auto &shares = request.route->pools;
         const auto share = std::find_if(shares.begin(), shares.end(), [&](const auto &one) {
@@ -386,18 +389,24 @@
             request.pool = request.table->findPool(share->pool);
         }
         if (share == shares.end() || streamFilterOf(request).outlook() == continuation::none) {
-            failRequest(request, failure::software_version_gone, run_state::not_run);
-            return;
+            refuseResumption(request, failure::software_version_gone, certainty);
+        } else {
+            m_placer.placeOrWait(request);
         }
-        m_placer.placeOrWait(request);
     }
-    /// It is not known which software began the stream. A reporter that has not replied may tell
-    /// when the caller returns.
-    auto onOriginUnknown(request_state &request, bool incomplete) -> void
+    /// It is not known which software began the stream.
+    auto onOriginUnknown(request_state &request, origin_certainty certainty) -> void
+    {
+        refuseResumption(request, failure::stream_origin_unknown, certainty);
+    }
+    /// The caller gets a time to return only if more may be known then.
+    auto refuseResumption(request_state &request, failure reason, origin_certainty certainty)
+        -> void
     {
-        const auto retryAfterMs
-            = incomplete ? std::optional(m_retryDelay.drawMs(*request.route)) : std::nullopt;
-        failWithReason(request, failure::stream_origin_unknown, run_state::not_run, retryAfterMs);
+        const auto retryAfterMs = certainty == origin_certainty::preliminary
+                                      ? std::optional(m_retryDelay.drawMs(*request.route))
+                                      : std::nullopt;
+        failWithReason(request, reason, run_state::not_run, retryAfterMs);
         close(request);
     }
     auto findRequest(std::uint64_t number) -> request_state *
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -19,6 +19,8 @@
 struct servers_changed
 {
     std::vector<server_entry> servers;
+    /// Everything that was published before this is in the list.
+    time_us readAt;
 };
 /// The data centres whose servers get no requests have changed; these are all of them.
 struct evacuations_changed
@@ -69,6 +71,10 @@
 {
     std::uint64_t lookupId = 0;
     std::size_t reporters = 0;
+    /// Reporters that are silent, so that asking them is of no use, and that may know the origin.
+    std::size_t unheard = 0;
+    /// Reporters of servers that were published later are not known. See servers_changed.
+    time_us listReadAt;
 };
 /// A reporter's reply on the origin of a stream.
 struct origin_replied
@@ -82,6 +88,13 @@
     = std::variant<server_reported, room_replied, server_announced, server_replaced,
                    reporter_absent, observations_received, origin_asked, origin_replied>;
 
+/// The list of backend servers is wanted as it is at a moment or later.
+struct list_wanted
+{
+    time_us since;
+};
+using directory_request = std::variant<server_announced, list_wanted>;
+
 /// Whether the service that publishes the list of backend servers answers.
 struct list_availability_changed
 {
@@ -106,7 +119,7 @@
     ring<server_command> toServers{CAPACITY};
     ring<directory_event> fromDirectory{DIRECTORY_CAPACITY};
     ring<servers_changed> directoryToReports{DIRECTORY_CAPACITY};
-    ring<server_announced> reportsToDirectory{DIRECTORY_CAPACITY};
+    ring<directory_request> reportsToDirectory{DIRECTORY_CAPACITY};
     ring<report_event> fromReports{CAPACITY};
     ring<reporter_command> toReports{CAPACITY};
 };
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -213,9 +213,15 @@
     std::uint64_t lookupId = 0;
     std::string requestId;
 };
+/// Asks for the published list as it is at a moment or later. It takes the way of the other
+/// commands since the reporters that the list names are asked next.
+struct request_list
+{
+    time_us since;
+};
 using reporter_command
     = std::variant<request_room, notify_move, share_observations, share_rate_limit,
-                   withdraw_room_request, share_origin, find_origin>;
+                   withdraw_room_request, share_origin, find_origin, request_list>;
 
 /// Sends a request to a backend server.
 struct send_request
--- a/src/forwarding/internal/forwardingduty.cpp
+++ b/src/forwarding/internal/forwardingduty.cpp
@@ -116,7 +116,7 @@
     {
         metrics.set(forwarding_metric::servers_known,
                     static_cast<std::int64_t>(changed.servers.size()));
-        core.onServerList(changed.servers);
+        core.onServerList(changed.servers, changed.readAt);
     }
     auto on(const evacuations_changed &changed) -> void
     {
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -18,6 +18,7 @@
     std::vector<withdraw_room_request> withdrawn;
     std::vector<share_origin> originsShared;
     std::vector<find_origin> originsRequested;
+    std::vector<request_list> listsRequested;
     std::vector<std::pair<log_event, std::string>> logged;
 
     auto toCaller(forward_action action) -> void { toCallers.push_back(std::move(action)); }
@@ -34,6 +35,8 @@
             originsShared.push_back(std::move(*shared));
         } else if (auto *wanted = std::get_if<find_origin>(&command)) {
             originsRequested.push_back(std::move(*wanted));
+        } else if (const auto *list = std::get_if<request_list>(&command)) {
+            listsRequested.push_back(*list);
         }
     }
     auto log(log_event event, const std::string &id, std::vector<log_field>) -> void
--- a/src/forwarding/tests/streamoriginstests.cpp
+++ b/src/forwarding/tests/streamoriginstests.cpp
@@ -194,3 +194,171 @@
     REQUIRE(f.sends() == 1);
     CHECK(f.lastSend().resumeAfter == 10);
 }
+
+namespace {
+
+/// An entry that has not read the list for a second, in which servers of the newer version joined.
+struct out_of_step : two_versions
+{
+    out_of_step()
+    {
+        core.onServerList({engineOf("i-c", "v1"), engineOf("i-d", "v1")});
+        advance(1'000);
+        resume("gone");
+    }
+    auto askedAt(std::size_t reporters, time_us listReadAt, std::size_t unheard = 0) -> void
+    {
+        core.onOriginAsked({.lookupId = lookups().back().lookupId,
+                            .reporters = reporters,
+                            .unheard = unheard,
+                            .listReadAt = listReadAt});
+    }
+    /// The list is read, and the reporters are asked that it names.
+    auto readList(std::size_t reporters) -> void
+    {
+        core.onServerList({engineOf("i-c", "v1"), engineOf("i-d", "v1"), engineOf("i-e", "v2")});
+        askedAt(reporters, time.now);
+    }
+    auto refusedForGood() const -> bool
+    {
+        return refusals().size() == 1 && !refusals().back().retryAfterMs;
+    }
+    auto refusedForNow() const -> bool
+    {
+        return refusals().size() == 1 && refusals().back().retryAfterMs
+               && refusals().back().ran == run_state::not_run;
+    }
+};
+
+} // namespace
+
+// The run at the older version made events that never reached the caller; the reporters that knew
+// of the first delivered event had joined with the newer version.
+TEST_CASE("an entry out of step resumes a stream at a version that its caller has not seen")
+{
+    out_of_step f;
+    f.askedAt(2, {});
+    f.reply("a", {origin_evidence::ran, OLDER});
+    f.reply("b", {});
+    CHECK(f.sends() == 0);
+    REQUIRE(f.sink.listsRequested.size() == 1);
+    SUBCASE("the new reporter knows the origin")
+    {
+        f.readList(3);
+        f.reply("a", {origin_evidence::ran, OLDER});
+        f.reply("b", {});
+        CHECK(f.sends() == 0);
+        f.reply("c", {origin_evidence::delivered, NEWER});
+        REQUIRE(f.sends() == 1);
+        CHECK(f.lastSend().serverId == "i-e");
+    }
+    SUBCASE("nobody knows more")
+    {
+        f.readList(3);
+        f.reply("a", {origin_evidence::ran, OLDER});
+        f.reply("b", {});
+        f.reply("c", {});
+        REQUIRE(f.sends() == 1);
+        CHECK(f.lastSend().serverId != "i-e");
+    }
+    SUBCASE("the new reporter does not reply")
+    {
+        f.readList(3);
+        f.reply("a", {origin_evidence::ran, OLDER});
+        f.reply("b", {});
+        f.advance(91);
+        CHECK(f.refusedForNow());
+    }
+    SUBCASE("the list does not come")
+    {
+        f.advance(301);
+        CHECK(f.refusedForNow());
+    }
+    CHECK(f.sink.listsRequested.size() == 1);
+}
+
+TEST_CASE("a run made known by some reporters decides although others are silent")
+{
+    two_versions f;
+    f.resume("gone");
+    f.core.onOriginAsked({.lookupId = f.lookups().back().lookupId, .reporters = 1, .unheard = 1});
+    f.reply("a", {origin_evidence::ran, OLDER});
+    CHECK(f.sends() == 0);
+    REQUIRE(f.refusals().size() == 1);
+    CHECK(f.refusals().back().reason == failure::stream_origin_unknown);
+    CHECK(f.refusals().back().retryAfterMs);
+}
+
+TEST_CASE("an entry out of step refuses a stream for good that it could resume a moment later")
+{
+    out_of_step f;
+    SUBCASE("the list names a reporter that knows the origin")
+    {
+        f.askedAt(1, {});
+        f.reply("a", {});
+        CHECK(f.refusals().empty());
+        f.readList(2);
+        f.reply("a", {});
+        f.reply("b", {origin_evidence::delivered, NEWER});
+        REQUIRE(f.sends() == 1);
+        CHECK(f.lastSend().serverId == "i-e");
+    }
+    SUBCASE("the duty that asks reporters reads the list a little later")
+    {
+        f.askedAt(1, {});
+        f.reply("a", {});
+        f.core.onServerList({engineOf("i-c", "v1"), engineOf("i-e", "v2")});
+        f.askedAt(1, {});
+        f.reply("a", {});
+        CHECK(f.refusals().empty());
+        f.advance(31);
+        f.askedAt(2, f.time.now);
+        f.reply("a", {});
+        f.reply("b", {origin_evidence::delivered, NEWER});
+        REQUIRE(f.sends() == 1);
+        CHECK(f.lastSend().serverId == "i-e");
+    }
+    SUBCASE("no server of its version is known")
+    {
+        f.reply("a", {origin_evidence::delivered, NEWER});
+        CHECK(f.refusals().empty());
+        CHECK(f.sink.listsRequested.size() == 1);
+        f.readList(2);
+        f.reply("a", {origin_evidence::delivered, NEWER});
+        REQUIRE(f.sends() == 1);
+        CHECK(f.lastSend().serverId == "i-e");
+    }
+    SUBCASE("the list does not come")
+    {
+        f.reply("a", {origin_evidence::delivered, NEWER});
+        f.advance(301);
+        CHECK(f.refusedForNow());
+        CHECK(f.refusals().back().reason == failure::software_version_gone);
+    }
+    SUBCASE("the list is out of reach")
+    {
+        f.core.onListAvailability(false);
+        f.askedAt(1, {});
+        f.reply("a", {});
+        CHECK(f.refusedForNow());
+        CHECK(f.sink.listsRequested.empty());
+    }
+    SUBCASE("the list shows that nobody knows it")
+    {
+        f.askedAt(1, {});
+        f.reply("a", {});
+        f.readList(2);
+        f.reply("a", {});
+        f.reply("b", {});
+        CHECK(f.refusedForGood());
+    }
+    SUBCASE("the list shows that its version has left")
+    {
+        f.reply("a", {origin_evidence::delivered, {.pool = "engines", .version = "v0"}});
+        f.readList(2);
+        f.reply("a", {});
+        f.reply("b", {});
+        CHECK(f.refusedForGood());
+        CHECK(f.refusals().back().reason == failure::software_version_gone);
+    }
+}
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -126,6 +126,7 @@
 
     auto onServerList(const servers_changed &changed) -> void
     {
+        listReadAt = std::max(listReadAt, changed.readAt);
         reporter_map kept;
         for (const auto &entry : changed.servers) {
             const auto address = toText(entry.address);
@@ -236,50 +237,67 @@
     {
         const stream_origin_frame told{.requestId = shared.requestId, .software = shared.software};
         sendTo(shared.serverId, told);
-        for (const auto &to : originKeepers(shared.requestId, ORIGIN_KEEPER_COUNT)) {
+        for (const auto &to : originKeepers(shared.requestId, ORIGIN_KEEPER_COUNT).answering) {
             socket.send(to, told);
         }
     }
     auto on(const find_origin &wanted) -> void
     {
         const auto keepers = originKeepers(wanted.requestId, ORIGIN_REQUEST_LIMIT);
-        for (const auto &to : keepers) {
+        for (const auto &to : keepers.answering) {
             socket.send(to, origin_request_frame{.lookupId = wanted.lookupId,
                                                  .requestId = wanted.requestId});
         }
-        reports.push(origin_asked{.lookupId = wanted.lookupId, .reporters = keepers.size()});
+        reports.push(origin_asked{.lookupId = wanted.lookupId,
+                                  .reporters = keepers.answering.size(),
+                                  .unheard = keepers.unheard,
+                                  .listReadAt = listReadAt});
     }
+    auto on(const request_list &wanted) -> void
+    {
+        if (toDirectory.push(list_wanted{wanted.since})) {
+            LOG(ERROR) << "request dropped: backlog limit of the directory duty exceeded";
+        }
+    }
+    struct origin_keepers
+    {
+        std::vector<endpoint> answering;
+        /// Silent reporters that another entry may have chosen.
+        std::size_t unheard = 0;
+    };
     /// Returns the reporters that come first for a request, by rendezvous hashing: those that
-    /// answer, and others only if they are too few.
-    auto originKeepers(const std::string &requestId, std::size_t count) -> std::vector<endpoint>
+    /// answer, and silent ones only if no other is left.
+    auto originKeepers(const std::string &requestId, std::size_t count) -> origin_keepers
     {
         struct ranked_reporter
         {
             bool silent = false;
-            std::uint64_t rank = 0;
+            bool mayExist = false;
             endpoint where;
         };
-        std::map<std::string, ranked_reporter> byAddress;
+        // By rank. Several servers may share an address; its reporter is one.
+        std::map<std::pair<std::uint64_t, std::string>, ranked_reporter> ranked;
         for (const auto &[address, reporter] : reporters) {
             const auto where = toText(reporter.reporter);
-            auto &ranked = byAddress[where];
-            ranked = {.silent = reporter.unansweredRequests > 1,
-                      .rank = stableHash(requestId, stableHash(where)),
-                      .where = reporter.reporter};
-        }
-        std::vector<ranked_reporter> sorted;
-        for (const auto &[where, ranked] : byAddress) {
-            sorted.push_back(ranked);
+            const auto silent = reporter.unansweredRequests > 1;
+            const auto [found, added]
+                = ranked.try_emplace({stableHash(requestId, stableHash(where)), where},
+                                     ranked_reporter{.silent = silent, .where = reporter.reporter});
+            auto &one = found->second;
+            one.silent = one.silent && silent;
+            one.mayExist = one.mayExist || mayExist(reporter);
         }
-        std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) {
-            return std::pair(a.silent, a.rank) < std::pair(b.silent, b.rank);
-        });
-        std::vector<endpoint> out;
-        for (const auto &ranked : sorted) {
-            if (out.size() >= count || (ranked.silent && !out.empty())) {
+        origin_keepers out;
+        std::vector<endpoint> silent;
+        for (const auto &[rank, one] : ranked) {
+            if (out.answering.size() >= count) {
                 break;
             }
-            out.push_back(ranked.where);
+            (one.silent ? silent : out.answering).push_back(one.where);
+            out.unheard += one.silent && one.mayExist ? 1 : 0;
+        }
+        if (out.answering.empty() && !silent.empty()) {
+            out.answering.push_back(silent.front());
         }
         return out;
     }
@@ -489,12 +507,14 @@
     ring_reader<servers_changed, reports_duty> servers;
     ring_reader<reporter_command, reports_duty> commands;
     ring_writer<report_event> reports;
-    ring_writer<server_announced> toDirectory;
+    ring_writer<directory_request> toDirectory;
     datagram_socket<impl> socket;
     boost::asio::steady_timer timer;
     reporter_map reporters;
     /// Pools of which a server's reporter has been heard.
     std::set<std::string> reportingPools;
+    /// See servers_changed.
+    time_us listReadAt;
     std::uint64_t round = 0;
     random_source random{systemSeed()};
     announcement_set seenAnnouncements;
--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -176,7 +176,8 @@
     CHECK(f.replacedServers() == std::vector<std::string>{"a-ended"});
 }
 
-// After a standstill the datagrams of that time were read from the socket, and counted as made then.
+// After a standstill the datagrams of that time were read from the socket, and counted as made
+// then.
 TEST_CASE("a report that has waited on its way counts as made when it arrives")
 {
     constexpr std::int64_t HELD_MS = 500;
--- a/src/serverviews/serverdirectory.h
+++ b/src/serverviews/serverdirectory.h
@@ -211,6 +211,8 @@
     auto isProcessCurrent(const server_view &view, time_us now) const -> bool;
     /// Whether servers of a pool state the version of their software.
     auto statesVersions(std::string_view pool) const -> bool;
+    /// Whether the service that publishes the list answers.
+    auto isListAvailable() const -> bool { return m_listAvailable; }
     /// Whether a server is known to be in an evacuated data centre.
     auto isEvacuated(std::string_view id) const -> bool;
     /// Whether all servers of a pool are leaving or evacuated; false if it has none.
