forwarding_core: what waits for the confirmation of a process is a module of its own

process_confirmations holds the first events of a run that continues a stream, and decides streams that only their connection has ended.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -5,6 +5,7 @@
 #include "forwarding/entrycount.h"
 #include "forwarding/forwardingoptions.h"
 #include "forwarding/plannedstop.h"
+#include "forwarding/processconfirmations.h"
 #include "forwarding/requestadmission.h"
 #include "forwarding/requestplacer.h"
 #include "forwarding/retrydelay.h"
@@ -15,7 +16,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <unordered_set>
 
 namespace marjoram {
 
@@ -42,6 +42,7 @@
         , m_mover(m_options.moves, clock, directory, *this)
         , m_quarantine(m_options.quarantine, clock, seed + 3, directory, *this)
         , m_origins(m_options.origins, clock, directory, *this)
+        , m_confirmations(m_options.streamEnds, clock, directory, *this)
         , m_servers(clock, directory, sink)
     {
         m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
@@ -107,8 +108,7 @@
     auto onReplaced(const std::string &id) -> void
     {
         m_servers.onReplaced(id);
-        decideEndsOn(id);
-        decideHeldOn(id);
+        m_confirmations.onServer(id);
     }
     /// The server has no reporter.
     auto onReporterAbsent(const std::string &id) -> void { m_servers.onReporterAbsent(id); }
@@ -128,8 +128,7 @@
         } else if (view && view->leaving()) {
             moveRunsOf(id);
         }
-        decideEndsOn(id);
-        decideHeldOn(id);
+        m_confirmations.onServer(id);
         endQuarantinedRequests();
     }
     /// Takes what other entries have seen of their runs.
@@ -234,9 +233,8 @@
 
     auto onEvent(server_event event) -> void
     {
-        if (!hold(event)) {
-            std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
-                       std::move(event));
+        if (!m_confirmations.hold(event)) {
+            handle(std::move(event));
         }
         // Runs move only once the request whose answer stated it has its new state.
         if (const auto id = std::exchange(m_statedLeaving, std::nullopt)) {
@@ -249,9 +247,9 @@
 
     auto nextTimer() const -> std::optional<time_us>
     {
-        return earliest(
-            earliest(earliest(m_timers.next(), m_quarantine.nextTimer()), m_origins.nextTimer()),
-            earliest(m_placer.nextTimer(), m_mover.nextTimer()));
+        return std::min({m_timers.next(), m_quarantine.nextTimer(), m_origins.nextTimer(),
+                         m_confirmations.nextTimer(), m_placer.nextTimer(), m_mover.nextTimer()},
+                        isEarlier);
     }
     auto onTimer() -> void
     {
@@ -259,6 +257,7 @@
         m_placer.onTimer();
         m_quarantine.onTimer();
         m_origins.onTimer();
+        m_confirmations.onTimer();
         while (const auto key = m_timers.popDue(m_clock.now())) {
             auto *request = findRequest(key->number);
             if (!request) {
@@ -271,17 +270,11 @@
             case timer_kind::hedge:
                 onHedgeTimeout(*request);
                 break;
-            case timer_kind::stream_end:
-                decideEnd(*request);
-                break;
-            case timer_kind::confirmation:
-                decideHeld(*request, true);
-                break;
             }
         }
     }
 
-    // --- called by the placer, the mover and the quarantine
+    // --- called by the placer, the mover, the quarantine and the origins
 
     auto toReporter(reporter_command command) -> void
     {
@@ -305,7 +298,7 @@
               const std::optional<kv_copy> &copy) -> void
     {
         const auto now = m_clock.now();
-        stopHolding(request);
+        m_confirmations.stopHolding(request);
         m_placer.cancelPlacement(request);
         const auto survivedStart = copy && request.run.survivedStart;
         const auto until
@@ -446,8 +439,69 @@
     /// The requests concerned end once the current event has been handled.
     auto onQuarantineChanged() -> void { m_quarantineChanged = true; }
 
+    // --- called by the confirmations of processes
+
+    auto findByExchange(std::uint64_t exchangeId) -> request_state *
+    {
+        const auto found = m_requestByExchange.find(exchangeId);
+        return found == m_requestByExchange.end() ? nullptr : findRequest(found->second);
+    }
+    auto handle(server_event event) -> void
+    {
+        std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
+                   std::move(event));
+    }
+    auto streamFilterOf(const request_state &request) const -> continuation_filter
+    {
+        return {m_directory, request, continued_part::stream, m_clock.now()};
+    }
+    /// Handles a stream that ended with the process of its server.
+    auto onServerEnded(request_state &request, bool wasExpected) -> void
+    {
+        if (!wasExpected) {
+            m_servers.onOutcome(request, false);
+        }
+        m_quarantine.onRunLost(request);
+        log(log_event::request_retried, request,
+            {{"server", request.run.serverId},
+             {"cause", std::string("server_ended")},
+             {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        if (!mayRetry(request) || !retryLost(request)) {
+            abortStream(request, failure::backend_server_lost);
+        }
+    }
+    auto completeStream(request_state &request, response_end end) -> void
+    {
+        m_quarantine.onRunProgress(request, request.run.events > 0);
+        m_servers.onOutcome(request, true);
+        log(log_event::request_answered, request,
+            {{"server", request.run.serverId},
+             {"events", static_cast<std::int64_t>(request.eventsDelivered)},
+             {"first_event_ms", request.firstEventUs / US_PER_MS},
+             {"longest_pause_ms", request.longestPauseUs / US_PER_MS},
+             {"moves", static_cast<std::int64_t>(request.moves)},
+             {"end", std::string(nameOf(end))},
+             {"stop_ordered", std::int64_t{request.run.stopOrdered}},
+             {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
+        m_sink.observe(latency_kind::longest_pause, request.longestPauseUs);
+        m_placer.onResponse(request, request.bytesDelivered);
+        toCaller(request, end_response_stream{.callerId = request.callerId});
+        close(request);
+    }
+    /// Handles a run that does not continue the stream of the one before it: events in between are
+    /// missing, or it ended without any. Whether the stream is complete is unknown.
+    auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
+    {
+        m_mover.abandon(request);
+        cancelExchange(request);
+        m_servers.onOutcome(request, false);
+        if (!mayRetry(request) || !retry(request, cause)) {
+            abortStream(request, failure::backend_server_failed);
+        }
+    }
+
 private:
-    enum class timer_kind { deadline, hedge, stream_end, confirmation };
+    enum class timer_kind { deadline, hedge };
     struct timer_key
     {
         timer_kind kind;
@@ -466,10 +520,9 @@
                                     static_cast<std::int64_t>(bytes));
         }
     }
-    static auto earliest(std::optional<time_us> a, std::optional<time_us> b)
-        -> std::optional<time_us>
+    static auto isEarlier(const std::optional<time_us> &a, const std::optional<time_us> &b) -> bool
     {
-        return a && b ? std::min(*a, *b) : (a ? a : b);
+        return a && (!b || *a < *b);
     }
 
     // --- opening
@@ -665,82 +718,6 @@
         bindOrigin(request);
         m_origins.onFirstEvent(request);
     }
-    /// Holds the first events of a run that continues a stream, and what follows them, until the
-    /// server's process is known to be the one that the run was sent to: a server may have started
-    /// anew with other software just before. One without the memory of a run refuses to resume from
-    /// it. Returns false if the event is to be handled now.
-    auto hold(server_event &event) -> bool
-    {
-        auto *request = std::visit(
-            [this](const auto &one) -> request_state * {
-                if constexpr (requires { one.exchangeId; }) {
-                    return findByExchange(one.exchangeId);
-                }
-                return nullptr;
-            },
-            event);
-        if (!request) {
-            return false;
-        }
-        if (request->heldEvents.empty()
-            && !(std::holds_alternative<stream_advanced>(event) && needsConfirmation(*request))) {
-            return false;
-        }
-        request->heldEvents.push_back(std::move(event));
-        if (m_held.insert(request->number).second) {
-            m_timers.set({timer_kind::confirmation, request->number},
-                         m_clock.now() + m_options.streamEnds.confirmationUs);
-        }
-        decideHeld(*request, false);
-        return true;
-    }
-    auto needsConfirmation(const request_state &request) const -> bool
-    {
-        return request.origin && !request.run.copy && !request.run.processConfirmed
-               && request.run.forwardedEvents == 0 && streamFilterOf(request).isRestricting();
-    }
-    auto decideHeld(request_state &request, bool expired) -> void
-    {
-        const auto &run = request.run;
-        const auto *view = m_directory.findProcess(run.serverId, run.bornUnixMs);
-        if (!view || !streamFilterOf(request).allows(*view) || expired) {
-            stopHolding(request);
-            onUnusableContinuation(request, "other_software");
-            return;
-        }
-        if (view->report && !hasAnsweredSince(*view, run.sentAt, m_options.streamEnds)) {
-            return;
-        }
-        request.run.processConfirmed = true;
-        for (auto &event : stopHolding(request)) {
-            std::visit([this](auto &&one) { this->on(std::forward<decltype(one)>(one)); },
-                       std::move(event));
-        }
-    }
-    auto decideHeldOn(const std::string &serverId) -> void
-    {
-        std::vector<std::uint64_t> affected;
-        for (const auto number : m_held) {
-            if (findRequest(number)->run.serverId == serverId) {
-                affected.push_back(number);
-            }
-        }
-        for (const auto number : affected) {
-            if (auto *request = findRequest(number); request && m_held.contains(number)) {
-                decideHeld(*request, false);
-            }
-        }
-    }
-    auto stopHolding(request_state &request) -> std::vector<server_event>
-    {
-        m_held.erase(request.number);
-        m_timers.cancel({timer_kind::confirmation, request.number});
-        return std::exchange(request.heldEvents, {});
-    }
-    auto streamFilterOf(const request_state &request) const -> continuation_filter
-    {
-        return {m_directory, request, continued_part::stream, m_clock.now()};
-    }
     auto recordEventTimes(request_state &request) -> void
     {
         const auto now = m_clock.now();
@@ -773,85 +750,11 @@
         }
         endExchange(*request);
         if (completed.end == response_end::connection_close) {
-            request->phase = request_phase::ending;
-            request->endedAt = m_clock.now();
-            m_ending.insert(request->number);
-            decideEnd(*request);
+            m_confirmations.awaitEnd(*request);
             return;
         }
         completeStream(*request, completed.end);
     }
-    /// Ends a stream that only the end of its connection has ended, as soon as it is known whether
-    /// it is complete.
-    auto decideEnd(request_state &request) -> void
-    {
-        if (request.phase != request_phase::ending) {
-            return;
-        }
-        const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
-        switch (decideStreamEnd(view, request.endedAt, m_clock.now(), m_options.streamEnds)) {
-        case stream_end::complete:
-            completeStream(request, response_end::connection_close);
-            break;
-        case stream_end::cut:
-            onServerEnded(request, !view || view->leaving());
-            break;
-        case stream_end::undecided:
-            m_timers.set({timer_kind::stream_end, request.number},
-                         request.endedAt + m_options.streamEnds.confirmationUs);
-            break;
-        }
-    }
-    auto decideEndsOn(const std::string &serverId) -> void
-    {
-        std::vector<request_state *> affected;
-        for (const auto number : m_ending) {
-            auto *request = findRequest(number);
-            if (request->run.serverId == serverId) {
-                affected.push_back(request);
-            }
-        }
-        for (auto *request : affected) {
-            decideEnd(*request);
-        }
-    }
-    /// Handles a stream that ended with the process of its server.
-    auto onServerEnded(request_state &request, bool wasExpected) -> void
-    {
-        m_ending.erase(request.number);
-        m_timers.cancel({timer_kind::stream_end, request.number});
-        // What follows must not be taken for the end that has been decided.
-        request.phase = request_phase::streaming;
-        if (!wasExpected) {
-            m_servers.onOutcome(request, false);
-        }
-        m_quarantine.onRunLost(request);
-        log(log_event::request_retried, request,
-            {{"server", request.run.serverId},
-             {"cause", std::string("server_ended")},
-             {"events", static_cast<std::int64_t>(request.lastEvent)}});
-        if (!mayRetry(request) || !retryLost(request)) {
-            abortStream(request, failure::backend_server_lost);
-        }
-    }
-    auto completeStream(request_state &request, response_end end) -> void
-    {
-        m_quarantine.onRunProgress(request, request.run.events > 0);
-        m_servers.onOutcome(request, true);
-        log(log_event::request_answered, request,
-            {{"server", request.run.serverId},
-             {"events", static_cast<std::int64_t>(request.eventsDelivered)},
-             {"first_event_ms", request.firstEventUs / US_PER_MS},
-             {"longest_pause_ms", request.longestPauseUs / US_PER_MS},
-             {"moves", static_cast<std::int64_t>(request.moves)},
-             {"end", std::string(nameOf(end))},
-             {"stop_ordered", std::int64_t{request.run.stopOrdered}},
-             {"took_ms", (m_clock.now() - request.openedAt) / US_PER_MS}});
-        m_sink.observe(latency_kind::longest_pause, request.longestPauseUs);
-        m_placer.onResponse(request, request.bytesDelivered);
-        toCaller(request, end_response_stream{.callerId = request.callerId});
-        close(request);
-    }
     /// Handles the end of a run that was ordered to stop, unless the framing of its stream shows
     /// that it is complete: a stopped run and a finished one close their connection alike, whatever
     /// became of the order.
@@ -868,17 +771,6 @@
             abortStream(request, failure::backend_server_lost);
         }
     }
-    /// Handles a run that does not continue the stream of the one before it: events in between are
-    /// missing, or it ended without any. Whether the stream is complete is unknown.
-    auto onUnusableContinuation(request_state &request, std::string_view cause) -> void
-    {
-        m_mover.abandon(request);
-        cancelExchange(request);
-        m_servers.onOutcome(request, false);
-        if (!mayRetry(request) || !retry(request, cause)) {
-            abortStream(request, failure::backend_server_failed);
-        }
-    }
     auto on(const exchange_failed &failed) -> void
     {
         auto *request = findByExchange(failed.exchangeId);
@@ -1085,11 +977,6 @@
     }
     // --- ending
 
-    auto findByExchange(std::uint64_t exchangeId) -> request_state *
-    {
-        const auto found = m_requestByExchange.find(exchangeId);
-        return found == m_requestByExchange.end() ? nullptr : findRequest(found->second);
-    }
     /// Removes the exchange from the bookkeeping; its server no longer counts the request.
     auto endExchange(request_state &request) -> void
     {
@@ -1222,10 +1109,8 @@
         m_mover.abandon(request);
         cancelExchange(request);
         m_timers.cancel({timer_kind::deadline, request.number});
-        m_timers.cancel({timer_kind::stream_end, request.number});
         m_origins.cancel(request);
-        stopHolding(request);
-        m_ending.erase(request.number);
+        m_confirmations.cancel(request);
         m_placer.cancelPlacement(request);
         const auto caller = m_requestByCaller.find(request.callerId);
         if (caller != m_requestByCaller.end() && caller->second == request.number) {
@@ -1251,16 +1136,13 @@
     run_mover<Clock, forwarding_core> m_mover;
     crash_quarantine<Clock, forwarding_core> m_quarantine;
     stream_origins<Clock, forwarding_core> m_origins;
+    process_confirmations<Clock, forwarding_core> m_confirmations;
     server_observer<Clock, Sink> m_servers;
     /// Server that has stated in the answer being handled that it is leaving.
     std::optional<std::string> m_statedLeaving;
     bool m_quarantineChanged = false;
     remote_traffic *m_remoteTraffic = nullptr;
     std::map<std::uint64_t, std::unique_ptr<request_state>> m_requests;
-    /// Numbers of the requests whose streams have ended, perhaps complete.
-    std::unordered_set<std::uint64_t> m_ending;
-    /// Numbers of the requests whose events are held.
-    std::unordered_set<std::uint64_t> m_held;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByCaller;
     std::unordered_map<std::uint64_t, std::uint64_t> m_requestByExchange;
     std::map<std::string, retry_window> m_retries;
