Linter: an explicit this, and a loop whose condition it can follow

directory_duty's visitor named 'this' without using it in one of its instantiations; a loop of reportsdutytests bound its condition by reference. No behaviour changes.

--- a/src/directory/directoryduty.h
+++ b/src/directory/directoryduty.h
@@ -93,7 +93,7 @@
 
     auto handle(directory_request &&request) -> void
     {
-        std::visit([this](const auto &one) { on(one); }, request);
+        std::visit([this](const auto &one) { this->on(one); }, request);
         scheduleTimer();
     }
 
--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
-#include <tuple>
 
 using namespace marjoram;
 
@@ -183,12 +182,12 @@
     constexpr std::int64_t HELD_MS = 500;
     reports_fixture f;
     REQUIRE_FALSE(f.reportedServer({reports_fixture::entryOf("a", BORN)}).empty());
-    auto [heldMs, delayMs] = f.heldReport();
-    while (heldMs < HELD_MS) {
-        std::tie(heldMs, delayMs) = f.heldReport();
+    auto held = f.heldReport();
+    while (held.first < HELD_MS) {
+        held = f.heldReport();
     }
-    REQUIRE(delayMs.has_value());
-    CHECK(*delayMs >= heldMs);
+    REQUIRE(held.second.has_value());
+    CHECK(*held.second >= held.first);
     f.stateEarlierRequest();
     CHECK_FALSE(f.heldReport().second.has_value());
 }
