--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -22,7 +22,9 @@
 #include <cstring>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -58,22 +60,37 @@
     static std::FILE *file = nullptr;
     return file;
 }
-inline auto record(const char *format, ...) -> void
+inline auto writeLine(std::initializer_list<std::FILE *> files, const char *line) -> void
 {
     static std::mutex mutex;
-    char line[1024];
-    va_list arguments;
-    va_start(arguments, format);
-    std::vsnprintf(line, sizeof line, format, arguments);
-    va_end(arguments);
     const std::lock_guard lock(mutex);
-    for (auto *out : {recordFile(), stdout}) {
+    for (auto *out : files) {
         if (out) {
             std::fprintf(out, "%8ld ms  %s\n", nowMs(), line);
             std::fflush(out);
         }
     }
 }
+/// Writes a line to record.txt and to standard output.
+[[gnu::format(printf, 1, 2)]] inline auto record(const char *format, ...) -> void
+{
+    char line[1024];
+    va_list arguments;
+    va_start(arguments, format);
+    std::vsnprintf(line, sizeof line, format, arguments);
+    va_end(arguments);
+    writeLine({recordFile(), stdout}, line);
+}
+/// Writes a line to record.txt only: what single requests do.
+[[gnu::format(printf, 1, 2)]] inline auto note(const char *format, ...) -> void
+{
+    char line[1024];
+    va_list arguments;
+    va_start(arguments, format);
+    std::vsnprintf(line, sizeof line, format, arguments);
+    va_end(arguments);
+    writeLine({recordFile()}, line);
+}
 [[noreturn]] inline auto cannotRun(const std::string &why) -> void;
 
 // --- sockets
@@ -756,6 +773,15 @@
     return "{\"name\":\"" + name
            + "\",\"health-path\":\"/healthz\",\"max-conns\":96,\"protocol\":\"h1\",\"tls\":false}";
 }
+/// A service of model runners, with the figures of the site's sheet.
+inline auto engineService(const std::string &name) -> std::string
+{
+    return "{\"name\":\"" + name
+           + "\",\"health-path\":\"/healthz\",\"max-conns\":232,\"protocol\":\"h1\",\"tls\":false,"
+             "\"engine\":{\"slots\":24,\"kv-tokens\":34306,\"kv-bytes\":327680,\"link-mbps\":47000.0,"
+             "\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pin-ms\":4000.0,"
+             "\"hold-ms\":2000.0,\"handle-s\":5.0,\"models\":[{\"name\":\"m\"}]}}";
+}
 inline auto runnerEntry(const std::string &service, const std::string &address, int slots,
                         long born, const std::string &state = "ready") -> std::string
 {
@@ -790,8 +816,9 @@
 class ran_requests
 {
 public:
-    auto add(const std::string &id) -> void
+    auto add(const std::string &runner, const std::string &id) -> void
     {
+        note("runner %s runs %s", runner.c_str(), id.c_str());
         const std::lock_guard lock(m_mutex);
         m_ids.insert(id);
     }
@@ -844,9 +871,11 @@
                 to.send("POST /book/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: " + id
                         + "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: key-one\r\nContent-Length: 5"
                           "\r\n\r\nhello");
+                note("client sends booking %s", id.c_str());
                 message reply;
                 const auto end = to.read(reply, 5000, true);
                 if (end == read_end::whole) {
+                    note("client gets %d for booking %s", reply.status(), id.c_str());
                     ++(reply.status() == 200 ? m_answered : m_refused);
                     continue;
                 }
