Order a server's reports by the entry's requests, not by the reporter's numbers

Cause: a reporter numbers its reports from 1 again after each start. An entry took a report only if its number was above the highest one seen, with an exception for the number 1, which one entry got. A reply to a room request raised that number on its own, so that a late reply of the former process closed the way again.

Why it works: each report states the entry's request that its reporter got last. A request reaches one process of a reporter, and later processes get later requests only, so (request, number) orders reports across restarts. report_order compares it, and the start of the server, in one place for reports and room replies. It reads no clock of another host, and the frames are unchanged, so both releases understand each other during an upgrade.

Same cause on related paths: a late reply about a former process of a server was passed on as a report that the present one does not answer; it now carries no report.

Tests: "the reports of a reporter that has started anew are dropped" is replaced by "reports of a restarted reporter are dropped": its reporter stated a request that only its former process had got, which no reporter does. The new one restarts the reporter in the middle, accepts reports of the new process only, and asks for two. Metrics tell the four cases apart.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -221,10 +221,12 @@
         }
     }
 
-    /// Handles a reporter's reply. Its report is the latest one, whatever the verdict.
+    /// Handles a reporter's reply to a room request.
     auto onRoomReply(room_replied replied) -> void
     {
-        onReport(replied.serverId, std::move(replied.report));
+        if (replied.report) {
+            onReport(replied.serverId, std::move(*replied.report));
+        }
         m_placer.onRoomReply(replied);
         m_mover.onRoomReply(replied);
     }
--- a/src/forwarding/forwardrings.h
+++ b/src/forwarding/forwardrings.h
@@ -39,7 +39,8 @@
     std::uint64_t askId = 0;
     room_verdict verdict = room_verdict::not_answering;
     std::string serverId;
-    server_report report;
+    /// Unset if a later report is known, or if the reply is about another process of the server.
+    std::optional<server_report> report;
     /// Time until a request of this size is expected to get room there; -1 if unknown.
     std::int64_t expectedWaitMs = -1;
 };
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -333,14 +333,14 @@
     f.core.onRoomReply({.askId = full.askId,
                         .verdict = room_verdict::memory_taken,
                         .serverId = full.serverId,
-                        .report = {.capacityTokens = 34'000}});
+                        .report = server_report{.capacityTokens = 34'000}});
     REQUIRE(f.sink.roomRequests.size() == 2);
     const auto open = f.sink.roomRequests.back();
     CHECK(open.serverId != full.serverId);
     f.core.onRoomReply({.askId = open.askId,
                         .verdict = room_verdict::granted,
                         .serverId = open.serverId,
-                        .report = {.capacityTokens = 34'000}});
+                        .report = server_report{.capacityTokens = 34'000}});
     REQUIRE(f.sends() == 1);
     CHECK(f.lastSend().serverId == open.serverId);
 }
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -226,7 +226,7 @@
         core.onRoomReply({.askId = room.askId,
                           .verdict = verdict,
                           .serverId = room.serverId,
-                          .report = {.capacityTokens = 34'000}});
+                          .report = server_report{.capacityTokens = 34'000}});
     }
     auto copyCommands() const -> std::size_t { return sink.servers<copy_run>().size(); }
 };
--- a/src/forwarding/tests/waitingroomtests.cpp
+++ b/src/forwarding/tests/waitingroomtests.cpp
@@ -30,11 +30,12 @@
     auto reply(std::size_t question, room_verdict verdict, std::int64_t expectedWaitMs = -1) -> void
     {
         const auto room = sink.roomRequests.at(question);
-        core.onRoomReply({.askId = room.askId,
-                          .verdict = verdict,
-                          .serverId = room.serverId,
-                          .report = {.running = 20, .usedTokens = 33'000, .capacityTokens = 34'000},
-                          .expectedWaitMs = expectedWaitMs});
+        core.onRoomReply(
+            {.askId = room.askId,
+             .verdict = verdict,
+             .serverId = room.serverId,
+             .report = server_report{.running = 20, .usedTokens = 33'000, .capacityTokens = 34'000},
+             .expectedWaitMs = expectedWaitMs});
     }
     auto questions() const -> std::size_t { return sink.roomRequests.size(); }
     auto isWithdrawn(std::size_t question) const -> bool
--- a/src/reporting/internal/reportsduty.cpp
+++ b/src/reporting/internal/reportsduty.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/ring/ringends.h"
 #include "reporting/datagramsocket.h"
+#include "reporting/reportorder.h"
 
 #include "framework/global/identifiers.h"
 #include "serverviews/softwarehistory.h"
@@ -65,20 +66,6 @@
             .answeredAgoMs = frame.answeredAgoMs};
 }
 
-/// Longest time that a report may have been on its way, by the request of this process that it
-/// states. Nullopt if it states none: nothing shows then when it was made.
-auto delayOf(const server_report_frame &frame, time_us startedAt, time_us now)
-    -> std::optional<std::int64_t>
-{
-    const time_us requestedAt{frame.requestSentAtUs};
-    if (requestedAt < startedAt || requestedAt > now) {
-        return std::nullopt;
-    }
-    const auto madeAt = requestedAt + toUs(std::max<std::int64_t>(0, frame.requestAgoMs));
-    const auto delayUs = std::max<std::int64_t>(0, now - madeAt);
-    return (delayUs + US_PER_MS - 1) / US_PER_MS;
-}
-
 } // namespace
 
 struct reports_duty::impl
@@ -94,7 +81,7 @@
         bool heard = false;
         /// As the published list states it; unset if it states none.
         std::optional<server_software> software;
-        std::uint64_t sequence = 0;
+        report_order order;
         std::uint32_t unansweredRequests = 0;
         std::uint32_t observationRequests = 0;
         std::optional<time_us> unlistedAt;
@@ -327,19 +314,23 @@
         markReplaced(reply.report);
         auto *state = states.front();
         noteHeard(*state);
-        if (isOfOtherProcess(*state, reply.report)) {
-            reports.push(room_replied{.askId = reply.askId,
-                                      .verdict = room_verdict::not_answering,
-                                      .serverId = state->serverId,
-                                      .report = {.answering = false}});
-            return;
-        }
-        state->sequence = std::max(state->sequence, reply.report.sequence);
+        const auto standing = classify(*state, reply.report);
+        const auto ofServer = standing != report_standing::other_process;
         reports.push(room_replied{.askId = reply.askId,
-                                  .verdict = reply.verdict,
+                                  .verdict = ofServer ? reply.verdict : room_verdict::not_answering,
                                   .serverId = state->serverId,
-                                  .report = received(reply.report),
-                                  .expectedWaitMs = reply.expectedWaitMs});
+                                  .report = reportOf(*state, reply.report, standing),
+                                  .expectedWaitMs = ofServer ? reply.expectedWaitMs : -1});
+    }
+    /// Returns what a reply to a room request shows of the server's process, if anything.
+    auto reportOf(const reporter_state &state, const server_report_frame &frame,
+                  report_standing standing) const -> std::optional<server_report>
+    {
+        if (isTaken(standing)) {
+            return received(frame);
+        }
+        const auto ended = standing == report_standing::other_process && state.replaced;
+        return ended ? std::optional(server_report{.answering = false}) : std::nullopt;
     }
     auto noteHeard(reporter_state &reporter) -> void
     {
@@ -355,12 +346,6 @@
         return reporter.heard || reporter.pool.empty() || reportingPools.contains(reporter.pool)
                || reporter.unansweredRequests < options.unansweredRequestLimit;
     }
-    static auto isOfOtherProcess(const reporter_state &state, const server_report_frame &report)
-        -> bool
-    {
-        return report.bornUnixMs != 0 && state.bornUnixMs != 0
-               && report.bornUnixMs != state.bornUnixMs;
-    }
     auto findReporter(const std::string &address, const std::string &serverId)
         -> reporter_map::iterator
     {
@@ -445,21 +430,45 @@
     }
     auto onReport(reporter_state &state, const server_report_frame &report) -> void
     {
-        // A restarted reporter counts from 1 again.
-        const auto stale = report.sequence <= state.sequence && report.sequence > 1;
         noteHeard(state);
-        if (isOfOtherProcess(state, report) || stale) {
+        if (isTaken(classify(state, report))) {
+            reports.push(server_reported{.serverId = state.serverId, .report = received(report)});
+        }
+    }
+    /// Classifies a report and counts it.
+    auto classify(reporter_state &state, const server_report_frame &report) -> report_standing
+    {
+        const auto standing
+            = state.order.classify(report, state.bornUnixMs, startedAt, clock.now());
+        switch (standing) {
+        case report_standing::latest:
+            metrics.add(reports_metric::reports_heard);
+            if (state.order.reporterRestarted()) {
+                metrics.add(reports_metric::reporter_restarts);
+            }
+            break;
+        case report_standing::undated:
+            metrics.add(reports_metric::reports_undated);
+            break;
+        case report_standing::outdated:
             metrics.add(reports_metric::reports_stale);
-            return;
+            break;
+        case report_standing::other_process:
+            metrics.add(reports_metric::reports_of_other_process);
+            break;
         }
-        state.sequence = report.sequence;
-        metrics.add(reports_metric::reports_heard);
-        reports.push(server_reported{.serverId = state.serverId, .report = received(report)});
+        return standing;
+    }
+    /// Whether the state that a report describes is passed on. An undated report is: a reporter
+    /// that has just started may get a request for room before one for reports.
+    static auto isTaken(report_standing standing) -> bool
+    {
+        return standing == report_standing::latest || standing == report_standing::undated;
     }
     auto received(const server_report_frame &frame) const -> server_report
     {
         auto out = toReport(frame);
-        out.delayMs = delayOf(frame, startedAt, clock.now());
+        out.delayMs = delayMsOf(frame, startedAt, clock.now());
         return out;
     }
     auto requestReport(reporter_state &state) -> void
--- a/src/reporting/reportsduty.h
+++ b/src/reporting/reportsduty.h
@@ -13,14 +13,21 @@
 /// Metrics of the reports that an entry receives.
 enum class reports_metric {
     reports_heard,
+    reports_undated,
     reports_stale,
+    reports_of_other_process,
+    reporter_restarts,
     report_requests,
     servers_announced,
     observations_heard
 };
 inline constexpr std::array reportsMetricNames{
     enum_name<reports_metric>{reports_metric::reports_heard, "server_reports_heard"},
+    enum_name<reports_metric>{reports_metric::reports_undated, "server_reports_undated"},
     enum_name<reports_metric>{reports_metric::reports_stale, "server_reports_stale"},
+    enum_name<reports_metric>{reports_metric::reports_of_other_process,
+                              "server_reports_of_other_process"},
+    enum_name<reports_metric>{reports_metric::reporter_restarts, "reporter_restarts"},
     enum_name<reports_metric>{reports_metric::report_requests, "server_report_requests"},
     enum_name<reports_metric>{reports_metric::servers_announced, "servers_announced"},
     enum_name<reports_metric>{reports_metric::observations_heard, "run_observations_heard"},
--- a/src/reporting/tests/reportsdutytests.cpp
+++ b/src/reporting/tests/reportsdutytests.cpp
@@ -1,5 +1,6 @@
 #include "framework/ring/ringends.h"
 #include "reporting/datagramsocket.h"
+#include "reporting/reportorder.h"
 #include "reporting/reportsduty.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -70,6 +71,7 @@
                                                     .sequence = ++m_sequence,
                                                     .answering = true,
                                                     .bornUnixMs = BORN,
+                                                    .running = m_reporterProcess,
                                                     .requestSentAtUs = m_requestSentAtUs});
             if (std::exchange(m_awaitsRequest, false)) {
                 m_context.stop();
@@ -81,9 +83,13 @@
         if (const auto *reported = std::get_if<server_reported>(&event)) {
             m_reported = reported->serverId;
             m_delayMs = reported->report.delayMs;
+            m_reportedProcess = reported->report.running;
             m_context.stop();
         } else if (const auto *replaced = std::get_if<server_replaced>(&event)) {
             m_replaced.push_back(replaced->serverId);
+        } else if (auto *replied = std::get_if<room_replied>(&event)) {
+            m_reply = std::move(*replied);
+            m_context.stop();
         }
     }
     /// Waits for a report that was made at the entry's first request, and has been held since then
@@ -95,8 +101,40 @@
     }
     /// The reporter has sent so many reports to all its entries.
     auto setSequence(std::uint64_t sequence) -> void { m_sequence = sequence; }
-    /// Waits for the next report and returns the server that it is ascribed to.
-    auto nextReport() -> std::string { return awaitReport(); }
+    /// Another process of the reporter has sent so many. It has got none of the requests before.
+    auto restartReporter(std::uint64_t sequence) -> void
+    {
+        m_sequence = sequence;
+        m_requestSentAtUs = 0;
+        ++m_reporterProcess;
+    }
+    /// A reply of the reporter to a room request, about the server process with that start.
+    auto roomReply(std::int64_t bornUnixMs) const -> room_reply_frame
+    {
+        return {.askId = 1,
+                .verdict = room_verdict::granted,
+                .report = {.server = "127.0.0.1:80",
+                           .sequence = m_sequence + 1,
+                           .answering = true,
+                           .bornUnixMs = bornUnixMs,
+                           .requestSentAtUs = m_requestSentAtUs}};
+    }
+    /// Sends a reply to the entry and returns what its duty makes of it.
+    auto deliver(const room_reply_frame &reply) -> room_replied
+    {
+        m_reply.reset();
+        m_socket.send({.port = ENTRY_PORT}, reply);
+        while (!m_reply && !awaitReport().empty()) { }
+        REQUIRE(m_reply.has_value());
+        return *m_reply;
+    }
+    /// Waits for the next report of the reporter's present process and returns the server that it
+    /// is ascribed to.
+    auto nextReport() -> std::string
+    {
+        while (!awaitReport().empty() && m_reportedProcess != m_reporterProcess) { }
+        return m_reported;
+    }
     /// The reports that follow state a request of an earlier process.
     auto stateEarlierRequest() -> void { m_requestSentAtUs = 1; }
     auto replacedServers() const -> const std::vector<std::string> & { return m_replaced; }
@@ -134,6 +172,9 @@
         m_rings,
         m_state};
     std::uint64_t m_sequence = 0;
+    /// Counts the restarts of the reporter; its reports state it as the number of running requests.
+    std::uint32_t m_reporterProcess = 0;
+    std::uint32_t m_reportedProcess = 0;
     bool m_awaitsRequest = false;
     std::string m_reported;
     std::optional<std::int64_t> m_delayMs;
@@ -143,6 +184,7 @@
     time_us m_requestedAt;
     std::int64_t m_heldMs = 0;
     std::vector<std::string> m_replaced;
+    std::optional<room_replied> m_reply;
 };
 
 } // namespace
@@ -196,14 +238,82 @@
     CHECK_FALSE(f.heldReport().second.has_value());
 }
 
-// A reporter counts the reports to all its entries. After it had started anew, each entry but the
-// one that got its first report dropped its reports as old, and took its server for silent.
-TEST_CASE("the reports of a reporter that has started anew are dropped" * doctest::may_fail())
+// After a restart of their reporter, which numbers its reports from 1 again, entries dropped its
+// reports as old until the number had passed the former one.
+TEST_CASE("reports of a restarted reporter are dropped")
+{
+    constexpr std::uint64_t SENT_BEFORE = 100;
+    reports_fixture f;
+    f.setSequence(SENT_BEFORE);
+    REQUIRE_FALSE(f.reportedServer({reports_fixture::entryOf("a", BORN)}).empty());
+    f.restartReporter(1);
+    CHECK(f.nextReport() == "a");
+    CHECK(f.nextReport() == "a");
+}
+
+// A reply to a room request from the former process of a reporter arrived late, and raised the
+// number that reports of the present one had to pass.
+TEST_CASE("a late reply of a former reporter process hides the reports of its successor")
 {
     constexpr std::uint64_t SENT_BEFORE = 100;
     reports_fixture f;
     f.setSequence(SENT_BEFORE);
     REQUIRE_FALSE(f.reportedServer({reports_fixture::entryOf("a", BORN)}).empty());
-    f.setSequence(1);
+    const auto late = f.roomReply(BORN);
+    f.restartReporter(0);
+    REQUIRE(f.nextReport() == "a");
+    const auto reply = f.deliver(late);
+    CHECK(reply.verdict == room_verdict::granted);
+    CHECK_FALSE(reply.report.has_value());
     CHECK(f.nextReport() == "a");
 }
+
+// The reply of a server's former process, which arrived late, was taken for a sign that the present
+// one does not answer.
+TEST_CASE("a late reply about a former server process shows the present one as down")
+{
+    reports_fixture f;
+    REQUIRE_FALSE(f.reportedServer({reports_fixture::entryOf("a", BORN)}).empty());
+    const auto former = f.deliver(f.roomReply(BORN - 1));
+    CHECK(former.verdict == room_verdict::not_answering);
+    CHECK_FALSE(former.report.has_value());
+    const auto successor = f.deliver(f.roomReply(BORN + 1));
+    CHECK(successor.verdict == room_verdict::not_answering);
+    REQUIRE(successor.report.has_value());
+    CHECK_FALSE(successor.report->answering);
+}
+
+TEST_CASE("reports are ordered by the entry's requests, whatever their reporter's numbers")
+{
+    constexpr time_us STARTED{1'000};
+    constexpr time_us NOW{9'000};
+    const auto reportAt = [](std::int64_t requestedAtUs, std::uint64_t number) {
+        return server_report_frame{
+            .sequence = number, .bornUnixMs = BORN, .requestSentAtUs = requestedAtUs};
+    };
+    report_order order;
+    const auto classify = [&](const server_report_frame &report) {
+        return order.classify(report, BORN, STARTED, NOW);
+    };
+    CHECK(classify(reportAt(2'000, 50)) == report_standing::latest);
+    CHECK(classify(reportAt(2'000, 49)) == report_standing::outdated);
+    CHECK(classify(reportAt(2'000, 50)) == report_standing::outdated);
+    CHECK(classify(reportAt(3'000, 51)) == report_standing::latest);
+    CHECK_FALSE(order.reporterRestarted());
+    CHECK(classify(reportAt(4'000, 1)) == report_standing::latest);
+    CHECK(order.reporterRestarted());
+    // Of the process before.
+    CHECK(classify(reportAt(3'000, 52)) == report_standing::outdated);
+    CHECK(classify(reportAt(4'000, 2)) == report_standing::latest);
+    CHECK_FALSE(order.reporterRestarted());
+    // No request, one of an earlier process of the entry, one of a clock that was set anew.
+    for (const auto requestedAtUs : {0, 900, 9'001}) {
+        CHECK(classify(reportAt(requestedAtUs, 1)) == report_standing::undated);
+    }
+    CHECK(classify(reportAt(4'000, 3)) == report_standing::latest);
+    auto ofOther = reportAt(5'000, 4);
+    ofOther.bornUnixMs = BORN + 1;
+    CHECK(classify(ofOther) == report_standing::other_process);
+    ofOther.bornUnixMs = 0;
+    CHECK(classify(ofOther) == report_standing::latest);
+}
