Don't take the silence of a server or its reporter for the end of its streams

Cause: decideStreamEnd concluded "cut" when no report had confirmed the end within 500 ms, and at once when a reporter stated that its server does not answer. Neither shows what became of the server's process.

Why it works: if no report has settled the end after 300 ms, the entry asks the server itself which process it runs, on a new connection. The same process: complete. Another one, or nothing listens there: cut. No answer shows nothing: a request that may be repeated is repeated, any other stays open until evidence comes, its deadline, or the end of the entry, and never ends as complete.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -472,6 +472,21 @@
             abortStream(request, failure::backend_server_lost);
         }
     }
+    /// Repeats a request although its stream may be complete: nothing shows what has become of its
+    /// server. Returns false if it must not be repeated.
+    auto retryUnconfirmed(request_state &request) -> bool
+    {
+        if (!mayRetry(request)) {
+            return false;
+        }
+        m_servers.onOutcome(request, false);
+        m_quarantine.onRunLost(request);
+        log(log_event::request_retried, request,
+            {{"server", request.run.serverId},
+             {"cause", std::string("unconfirmed_end")},
+             {"events", static_cast<std::int64_t>(request.lastEvent)}});
+        return retryLost(request);
+    }
     auto completeStream(request_state &request, response_end end) -> void
     {
         m_quarantine.onRunProgress(request, request.run.events > 0);
@@ -813,6 +828,7 @@
         failRequest(*request, failure::backend_server_lost, run_state::unknown);
     }
     auto on(const run_copied &copied) -> void { m_mover.onCopied(copied); }
+    auto on(const process_queried &queried) -> void { m_confirmations.onQueried(queried); }
 
     auto onRefusedByServer(request_state &request, const response_head &head) -> void
     {
--- a/src/forwarding/forwardtypes.h
+++ b/src/forwarding/forwardtypes.h
@@ -260,7 +260,14 @@
 {
     kv_copy copy;
 };
-using server_command = std::variant<send_request, cancel_exchange, copy_run, release_kv_copy>;
+/// Asks a backend server which process it runs.
+struct query_process
+{
+    std::uint64_t queryId = 0;
+    endpoint server;
+};
+using server_command
+    = std::variant<send_request, cancel_exchange, copy_run, release_kv_copy, query_process>;
 
 // --- backend servers to decisions
 
@@ -355,7 +362,33 @@
     /// Handle of the copy; also set when a stopped run finds no room on the target.
     std::string handle;
 };
+
+/// How a backend server has answered a query for its process.
+enum class query_outcome {
+    answered,
+    /// Nothing listens at its address.
+    refused,
+    /// No answer, or one that can't be read. Shows nothing.
+    failed
+};
+inline constexpr std::array queryOutcomeNames{
+    enum_name<query_outcome>{query_outcome::answered, "answered"},
+    enum_name<query_outcome>{query_outcome::refused, "refused"},
+    enum_name<query_outcome>{query_outcome::failed, "failed"},
+};
+constexpr auto namesOf(query_outcome) -> const auto &
+{
+    return queryOutcomeNames;
+}
+
+struct process_queried
+{
+    std::uint64_t queryId = 0;
+    query_outcome outcome = query_outcome::failed;
+    /// Start of the process that answered; 0 if it states none.
+    std::int64_t bornUnixMs = 0;
+};
 using server_event = std::variant<response_received, stream_begun, stream_advanced,
-                                  stream_completed, exchange_failed, run_copied>;
+                                  stream_completed, exchange_failed, run_copied, process_queried>;
 
 } // namespace marjoram
--- a/src/forwarding/processconfirmations.h
+++ b/src/forwarding/processconfirmations.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "forwarding/continuationfilter.h"
+#include "forwarding/processqueries.h"
 #include "forwarding/requeststate.h"
 #include "forwarding/streamend.h"
+#include "framework/eventlog/eventlog.h"
 #include "framework/global/timerqueue.h"
 #include "serverviews/serverdirectory.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -17,13 +20,19 @@
 
 /// Functions that process_confirmations needs from its host.
 template <typename H>
-concept confirmation_host = requires(H &host, request_state &request, std::uint64_t number,
-                                     server_event event, std::string_view cause)
+concept confirmation_host
+    = requires(H &host, request_state &request, std::uint64_t number, server_event event,
+               server_command command, std::string_view cause, std::vector<log_field> fields)
 {
     host.handle(std::move(event));
+    host.toServer(std::move(command));
+    host.log(log_event::stream_end_queried, request, std::move(fields));
     host.completeStream(request, response_end::connection_close);
     host.onServerEnded(request, true);
     host.onUnusableContinuation(request, cause);
+    {
+        host.retryUnconfirmed(request)
+        } -> std::same_as<bool>;
     {
         host.findRequest(number)
         } -> std::same_as<request_state *>;
@@ -94,9 +103,29 @@
     {
         request.phase = request_phase::ending;
         request.endedAt = m_clock.now();
-        m_ending.insert(request.number);
+        m_ending.insert_or_assign(request.number, ending_stream{});
         decideEnd(request);
     }
+    /// A server has answered, or not answered, a query for its process.
+    auto onQueried(const process_queried &queried) -> void
+    {
+        const auto query = m_queries.end(queried.queryId);
+        if (!query) {
+            return;
+        }
+        for (const auto number : requestsAt(query->serverId, m_ending)) {
+            auto *request = m_host.findRequest(number);
+            const auto ending = m_ending.find(number);
+            if (!request || ending == m_ending.end()) {
+                continue;
+            }
+            ending->second.sign = signOf(*request, *query, queried);
+            if (std::exchange(ending->second.outcome, queried.outcome) != queried.outcome) {
+                logQueried(*request, queried.outcome, ending->second.sign);
+            }
+            decideEnd(*request);
+        }
+    }
     /// Something new is known of a server.
     auto onServer(const std::string &serverId) -> void
     {
@@ -133,12 +162,15 @@
             case timer_kind::stream_end:
                 decideEnd(*request);
                 break;
+            case timer_kind::query:
+                queryProcess(*request);
+                break;
             }
         }
     }
 
 private:
-    enum class timer_kind { held_events, stream_end };
+    enum class timer_kind { held_events, stream_end, query };
     struct timer_key
     {
         timer_kind kind;
@@ -147,6 +179,18 @@
             -> std::strong_ordering = default;
     };
 
+    /// A stream whose end is not decided yet.
+    struct ending_stream
+    {
+        process_sign sign = process_sign::none;
+        /// When its server is queried for the first time.
+        std::optional<time_us> queryAt;
+        bool queried = false;
+        /// Outcome of the latest query.
+        std::optional<query_outcome> outcome;
+        bool retryRefused = false;
+    };
+
     auto needsConfirmation(const request_state &request) const -> bool
     {
         return request.origin && !request.run.copy && !request.run.processConfirmed
@@ -176,7 +220,9 @@
             return;
         }
         const auto *view = m_directory.findProcess(request.run.serverId, request.run.bornUnixMs);
-        switch (decideStreamEnd(view, request.endedAt, m_clock.now(), m_options)) {
+        const closed_stream closed{.endedAt = request.endedAt,
+                                   .sign = m_ending.at(request.number).sign};
+        switch (decideStreamEnd(view, closed, m_clock.now(), m_options)) {
         case stream_end::complete:
             m_host.completeStream(request, response_end::connection_close);
             break;
@@ -189,19 +235,97 @@
         case stream_end::undecided:
             m_timers.set({timer_kind::stream_end, request.number},
                          request.endedAt + m_options.confirmationUs);
+            scheduleQuery(request, m_options.queryAfterUs);
             break;
+        case stream_end::unconfirmed:
+            retryOrAwait(request);
+            break;
+        }
+    }
+    /// Repeats a request that may be repeated. Others wait for a sign until their deadline, or
+    /// until the process stops: the server's silence doesn't show that the stream is not complete.
+    auto retryOrAwait(request_state &request) -> void
+    {
+        if (!m_ending.at(request.number).retryRefused) {
+            auto ending = m_ending.at(request.number);
+            stopEnding(request);
+            request.phase = request_phase::streaming;
+            if (m_host.retryUnconfirmed(request)) {
+                return;
+            }
+            request.phase = request_phase::ending;
+            ending.retryRefused = true;
+            ending.queryAt.reset();
+            m_ending.insert_or_assign(request.number, ending);
         }
+        scheduleQuery(request, m_options.survivalUs);
+    }
+    /// Schedules the first query for a stream's end, so long after the end.
+    auto scheduleQuery(const request_state &request, std::int64_t afterUs) -> void
+    {
+        auto &ending = m_ending.at(request.number);
+        const auto at = request.endedAt + afterUs;
+        if (!ending.queryAt || (!ending.queried && at < *ending.queryAt)) {
+            ending.queryAt = at;
+            m_timers.set({timer_kind::query, request.number}, at);
+        }
+    }
+    auto queryProcess(request_state &request) -> void
+    {
+        if (request.phase != request_phase::ending) {
+            return;
+        }
+        const auto now = m_clock.now();
+        if (auto query = m_queries.begin(request.run.serverId, request.run.server, now)) {
+            m_host.toServer(std::move(*query));
+        }
+        m_ending.at(request.number).queried = true;
+        m_timers.set({timer_kind::query, request.number}, now + m_options.queryIntervalUs);
+    }
+    auto logQueried(const request_state &request, query_outcome outcome, process_sign sign) -> void
+    {
+        m_host.log(log_event::stream_end_queried, request,
+                   {{"server", request.run.serverId},
+                    {"outcome", std::string(nameOf(outcome))},
+                    {"process", std::string(nameOf(sign))},
+                    {"after_ms", (m_clock.now() - request.endedAt) / US_PER_MS}});
+    }
+    auto signOf(const request_state &request, const process_queries::pending_query &query,
+                const process_queried &queried) const -> process_sign
+    {
+        const auto askedAfterEnd = query.askedAt >= request.endedAt + m_options.survivalUs;
+        switch (queried.outcome) {
+        case query_outcome::refused:
+            return process_sign::ended;
+        case query_outcome::answered: {
+            const auto born = request.run.bornUnixMs;
+            if (born != 0 && queried.bornUnixMs != 0 && born != queried.bornUnixMs) {
+                return process_sign::ended;
+            }
+            return askedAfterEnd ? process_sign::survived : process_sign::none;
+        }
+        case query_outcome::failed:
+            break;
+        }
+        return process_sign::none;
     }
     auto stopEnding(const request_state &request) -> void
     {
         m_ending.erase(request.number);
         m_timers.cancel({timer_kind::stream_end, request.number});
+        m_timers.cancel({timer_kind::query, request.number});
+    }
+    static auto numberOf(std::uint64_t number) -> std::uint64_t { return number; }
+    static auto numberOf(const std::pair<const std::uint64_t, ending_stream> &one) -> std::uint64_t
+    {
+        return one.first;
     }
-    auto requestsAt(const std::string &serverId, const std::unordered_set<std::uint64_t> &numbers)
-        -> std::vector<std::uint64_t>
+    /// Returns the requests of a set or a map by number whose run is at a server.
+    auto requestsAt(const std::string &serverId, const auto &requests) -> std::vector<std::uint64_t>
     {
         std::vector<std::uint64_t> out;
-        for (const auto number : numbers) {
+        for (const auto &one : requests) {
+            const auto number = numberOf(one);
             const auto *request = m_host.findRequest(number);
             if (request && request->run.serverId == serverId) {
                 out.push_back(number);
@@ -217,7 +341,8 @@
     /// Numbers of the requests whose events are held.
     std::unordered_set<std::uint64_t> m_held;
     /// Numbers of the requests whose streams have ended, perhaps complete.
-    std::unordered_set<std::uint64_t> m_ending;
+    std::unordered_map<std::uint64_t, ending_stream> m_ending;
+    process_queries m_queries;
     timer_queue<timer_key> m_timers;
 };
 
--- a/src/upstream/tests/repeatedanswertests.cpp
+++ b/src/upstream/tests/repeatedanswertests.cpp
@@ -20,6 +20,7 @@
     }
     static auto encode(const copy_run &) -> http_request { return {.target = "/copy"}; }
     static auto encode(const release_kv_copy &) -> http_request { return {.target = "/release"}; }
+    static auto encode(const query_process &) -> http_request { return {.target = "/process"}; }
     static auto identify(const channel_head &head, const std::string &requestId) -> answer_identity
     {
         const auto named = head.header("Id");
@@ -43,6 +44,10 @@
                 .outcome = status == 200 ? copy_outcome::copied : copy_outcome::no_room,
                 .handle = std::string(body)};
     }
+    static auto decodeQueried(std::uint64_t queryId, int, std::string_view) -> process_queried
+    {
+        return {.queryId = queryId};
+    }
 };
 
 auto answer(const std::string &fields, const std::string &body = {}) -> std::string
--- a/src/upstream/tests/unboundedanswertests.cpp
+++ b/src/upstream/tests/unboundedanswertests.cpp
@@ -20,6 +20,7 @@
     }
     static auto encode(const copy_run &) -> http_request { return {}; }
     static auto encode(const release_kv_copy &) -> http_request { return {}; }
+    static auto encode(const query_process &) -> http_request { return {}; }
     static auto identify(const channel_head &head, const std::string &requestId) -> answer_identity
     {
         const auto named = head.header("Id");
@@ -44,6 +45,10 @@
     {
         return {.copyId = copyId};
     }
+    static auto decodeQueried(std::uint64_t queryId, int, std::string_view) -> process_queried
+    {
+        return {.queryId = queryId};
+    }
 };
 
 enum class answer_end { close, reset, never };
--- a/src/upstream/upstreamduty.h
+++ b/src/upstream/upstreamduty.h
@@ -30,7 +30,8 @@
 template <typename C>
 concept server_codec
     = requires(const send_request &send, const copy_run &copy, const release_kv_copy &released,
-               const channel_head &head, const std::string &requestId, std::string_view body)
+               const query_process &query, const channel_head &head, const std::string &requestId,
+               std::string_view body)
 {
     {
         C::encode(send)
@@ -41,6 +42,9 @@
     {
         C::encode(released)
         } -> std::same_as<http_request>;
+    {
+        C::encode(query)
+        } -> std::same_as<http_request>;
     {
         C::identify(head, requestId)
         } -> std::same_as<answer_identity>;
@@ -56,6 +60,9 @@
     {
         C::decodeCopied(std::uint64_t{}, 200, body)
         } -> std::same_as<run_copied>;
+    {
+        C::decodeQueried(std::uint64_t{}, 200, body)
+        } -> std::same_as<process_queried>;
 };
 
 /// Why an exchange failed although its connection stayed open.
@@ -118,6 +125,8 @@
     std::int64_t freshIdleLimitMs = 500;
     /// Time for a server to carry out a request to copy a run, or to delete the copy.
     std::int64_t copyTimeoutMs = 2'500;
+    /// Time for a server to state which process it runs.
+    std::int64_t queryTimeoutMs = 1'000;
     /// Time after a request's deadline at which its exchange is cancelled.
     std::int64_t deadlineGraceMs = 1'000;
     /// Limits on one answer that is held until it is complete, and on all of them together with
@@ -254,12 +263,13 @@
     auto onIdleClosed(channel &from) -> void { removeIdle(from.id(), from.peer()); }
 
 private:
-    enum class exchange_kind { forward, copy, release };
+    enum class exchange_kind { forward, copy, release, query };
     struct exchange_state
     {
         exchange_kind kind = exchange_kind::forward;
         send_request send;
         std::uint64_t copyId = 0;
+        std::uint64_t queryId = 0;
         /// Request whose run is copied.
         std::string copiedRequestId;
         /// Kept until the answer begins, for a retry if the idle connection was already closed.
@@ -339,6 +349,15 @@
                        .request = Codec::encode(released),
                        .timeoutAt = deadlineIn(m_options.copyTimeoutMs)});
     }
+    /// Uses a new connection: only that shows whether anything listens there.
+    auto on(const query_process &query) -> void
+    {
+        startExchange(query.server, std::nullopt,
+                      {.kind = exchange_kind::query,
+                       .queryId = query.queryId,
+                       .request = Codec::encode(query),
+                       .timeoutAt = deadlineIn(m_options.queryTimeoutMs)});
+    }
     /// Lets the streams that wait go on once callers have taken enough of what was passed on.
     auto awaitStreamSpace() -> void
     {
@@ -395,6 +414,7 @@
                                                                    : answer_identity::expected;
         }
         case exchange_kind::release:
+        case exchange_kind::query:
             break;
         }
         return answer_identity::expected;
@@ -568,7 +588,21 @@
             break;
         case exchange_kind::release:
             break;
+        case exchange_kind::query:
+            reportQueried(exchange, outcome);
+            break;
+        }
+    }
+    auto reportQueried(const exchange_state &exchange, const channel_outcome &outcome) -> void
+    {
+        if (!outcome.error && !exchange.error) {
+            publish(Codec::decodeQueried(exchange.queryId, exchange.status, exchange.body));
+            return;
         }
+        const auto refused = outcome.error == std::errc::connection_refused;
+        publish(
+            process_queried{.queryId = exchange.queryId,
+                            .outcome = refused ? query_outcome::refused : query_outcome::failed});
     }
     auto reportForward(exchange_state exchange, const channel_outcome &outcome) -> void
     {
