A late order to stop a run must not end a later run as complete

Callers could see: a part of a stream as a complete answer, in chunks.

Cause of what was left: a run's order to stop was remembered with the run. If its answer is lost and the target refuses, the request resumes at its source as a new run without that mark. The order may still arrive there, after a link was cut for a while, and stop the new run; its server's process lives on, so the close counted as the end of the stream.

Evidence: by unit test; no run with real processes has shown it. "a stream that a late order to stop closes at its source ends as complete" fails without the change to send().

Why it works: the request remembers the servers whose answer to such an order is not known, and a new run there counts as ordered to stop: only framing ends its stream as complete. An order that was answered has been carried out and marks nothing.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -329,6 +329,7 @@
                        .sentAt = now,
                        .tokens = request.isGeneration() ? m_placer.expectedTokens(request) : 0,
                        .copy = copy,
+                       .stopOrdered = request.mayBeStopped(serverId),
                        .events = copy ? request.run.events : 0,
                        .survivedStart = survivedStart};
         m_placer.onSent(request);
--- a/src/forwarding/requeststate.h
+++ b/src/forwarding/requeststate.h
@@ -89,7 +89,7 @@
     std::optional<kv_copy> copy;
     /// Whether the response of this server has begun.
     bool begun = false;
-    /// The server was ordered to stop this run, so that it resumes elsewhere.
+    /// The server was ordered to stop this run, or one before it and the order may come late.
     bool stopOrdered = false;
     /// Events with an id received, from servers before a move too, and whether they are so many
     /// that the run does not crash servers.
@@ -147,6 +147,9 @@
     std::uint32_t sends = 0;
     /// Servers that failed or refused this request.
     std::vector<std::string> excludedServers;
+    /// Servers whose answer to the order to stop a run of this request is not known. The order may
+    /// still reach them, and stop a later run there.
+    std::vector<std::string> unansweredStops;
     /// Move targets that had no room for a copy.
     std::vector<std::string> refusedTargets;
     /// Move targets whose reporters refused in this turn.
@@ -179,6 +182,12 @@
     std::int64_t longestPauseUs = 0;
     std::int64_t firstEventUs = 0;
 
+    /// Whether an order to stop an earlier run may still stop a new one at that server.
+    auto mayBeStopped(const std::string &serverId) const -> bool
+    {
+        return std::find(unansweredStops.begin(), unansweredStops.end(), serverId)
+               != unansweredStops.end();
+    }
     auto isGeneration() const -> bool { return route->kind == work_kind::generation; }
     /// Whether the current run continues the stream of an earlier one and has not added to it yet.
     auto awaitsContinuation() const -> bool
--- a/src/forwarding/runmover.h
+++ b/src/forwarding/runmover.h
@@ -425,8 +425,10 @@
                 m_timers.set(request.number, m_clock.now() + m_options.sourceEndTimeoutUs);
             }
             break;
-        case copy_outcome::no_such_run:
         case copy_outcome::failed:
+            request.unansweredStops.push_back(request.run.serverId);
+            [[fallthrough]];
+        case copy_outcome::no_such_run:
             if (move.sourceEnded) {
                 resumeAtTarget(request);
             } else {
--- a/src/forwarding/tests/stoppedstreamtests.cpp
+++ b/src/forwarding/tests/stoppedstreamtests.cpp
@@ -126,6 +126,31 @@
     CHECK(f.cut());
 }
 
+// The answer to the order was lost, and the order itself came late: it stopped the run that had
+// resumed at its source meanwhile.
+TEST_CASE("a stream that a late order to stop closes at its source ends as complete")
+{
+    for (const auto reply : {copy_outcome::failed, copy_outcome::no_room}) {
+        CAPTURE(nameOf(reply));
+        stopping_run f;
+        f.closeStream();
+        f.completeCopy(reply, reply == copy_outcome::failed ? "" : "h1");
+        if (reply == copy_outcome::failed) {
+            REQUIRE(f.lastSend().serverId != f.source);
+            f.answer({.status = 503, .notRun = true});
+        }
+        REQUIRE(f.lastSend().serverId == f.source);
+        f.beginStream();
+        f.streamEvents(11, 12);
+        f.closeStream();
+        f.advance(100);
+        f.core.onReport(f.source, {});
+        // The order that was answered has been carried out and can't stop another run.
+        CHECK(f.endedAsComplete() == (reply == copy_outcome::no_room));
+        CHECK(f.cut() == (reply == copy_outcome::failed));
+    }
+}
+
 TEST_CASE("a run that was ordered to stop and completes its stream is cut")
 {
     stopping_run f;
