Entries number their questions to reporters from a random start

Callers could see: a request sent to a server that has no room for it, or a resumption refused, right after a restart of their entry.

Each process of an entry numbered its room requests and lookups of origins from 1. A reply to the former process, delayed on the way or sent when a waiting request got room, was taken for the reply to another question.

Evidence: by unit test, which fails while ids start from 0; no run with real processes has shown it.

Why it works: ids start at a random number below 2^62, drawn from the seed of the process, so that a late reply meets no question and is withdrawn like any late grant. The frames are unchanged.

--- a/src/forwarding/forwardingcore.h
+++ b/src/forwarding/forwardingcore.h
@@ -11,6 +11,7 @@
 #include "forwarding/retrydelay.h"
 #include "forwarding/serverobserver.h"
 #include "forwarding/streamcontinuity.h"
+#include "framework/global/identifiers.h"
 #include "locality/remotetraffic.h"
 
 #include <algorithm>
@@ -44,6 +45,7 @@
         , m_origins(m_options.origins, clock, directory, *this)
         , m_confirmations(m_options.streamEnds, clock, directory, *this)
         , m_servers(clock, directory, sink)
+        , m_lastAskId(firstAskId(seed))
     {
         m_directory.setEntryCount(m_entryCount.count(), m_clock.now());
         static_assert(forwarding_sink<Sink>);
@@ -528,6 +530,12 @@
             -> std::strong_ordering = default;
     };
 
+    /// Far enough from the largest number that the ids of one process never exceed it.
+    static auto firstAskId(std::uint64_t seed) -> std::uint64_t
+    {
+        constexpr std::uint64_t LIMIT = std::uint64_t{1} << 62;
+        return stableHash("ask id", seed) % LIMIT;
+    }
     auto recordRemote(const request_state &request, std::int64_t requests, std::size_t bytes)
         -> void
     {
@@ -1168,7 +1176,9 @@
     timer_queue<timer_key> m_timers;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_lastExchangeId = 0;
-    std::uint64_t m_lastAskId = 0;
+    /// Of questions to reporters. Starts at random, since a reply to a former process of the entry
+    /// may still come.
+    std::uint64_t m_lastAskId;
 };
 
 } // namespace marjoram
--- a/src/forwarding/streamorigins.h
+++ b/src/forwarding/streamorigins.h
@@ -48,6 +48,9 @@
                log_event event, std::vector<log_field> fields, origin_certainty certainty)
 {
     host.toReporter(command);
+    {
+        host.nextAskId()
+        } -> std::same_as<std::uint64_t>;
     host.onOriginKnown(request, certainty);
     host.onOriginUnknown(request, certainty);
     host.log(event, request, fields);
@@ -238,7 +241,7 @@
     auto begin(const request_state &request, pending_lookup &pending) -> void
     {
         const auto now = m_clock.now();
-        pending.lookupId = ++m_lastLookupId;
+        pending.lookupId = m_host.nextAskId();
         pending.lookup.restart();
         ask(request, pending);
         m_timers.set({timer_kind::repeat, request.number}, now + m_options.repeatUs);
@@ -329,7 +332,6 @@
     time_us m_listReadAt{INT64_MIN / 2};
     /// By the number of the request.
     std::map<std::uint64_t, pending_lookup> m_lookups;
-    std::uint64_t m_lastLookupId = 0;
     timer_queue<timer_key> m_timers;
 };
 
--- a/src/forwarding/tests/forwardingcoretests.cpp
+++ b/src/forwarding/tests/forwardingcoretests.cpp
@@ -320,6 +320,29 @@
     CHECK(f.sink.callers<abort_response_stream>().size() == 1);
 }
 
+// Each process of an entry numbered its questions to reporters from 1, so that a late reply to the
+// one before was taken for the reply to another question.
+TEST_CASE("a reply to a former process of the entry grants room to a request of the present one")
+{
+    forwarding_fixture former({}, 1);
+    forwarding_fixture present({}, 2);
+    for (auto *f : {&former, &present}) {
+        for (const auto *id : {"i-c", "i-d"}) {
+            f->core.onReport(id, {.capacityTokens = 34'000});
+        }
+        f->openRequest("draft");
+        REQUIRE(f->sink.roomRequests.size() == 1);
+    }
+    const auto late = former.sink.roomRequests.back();
+    present.core.onRoomReply({.askId = late.askId,
+                              .verdict = room_verdict::granted,
+                              .serverId = late.serverId,
+                              .report = server_report{.capacityTokens = 34'000}});
+    CHECK(present.sends() == 0);
+    present.replyToRoomRequest(room_verdict::granted);
+    CHECK(present.sends() == 1);
+}
+
 TEST_CASE("a generation is sent where a reporter grants room, after trying others")
 {
     forwarding_fixture f;
--- a/src/forwarding/tests/forwardingfixture.h
+++ b/src/forwarding/tests/forwardingfixture.h
@@ -117,9 +117,9 @@
     forwarding_core<sampled_least_added_time, virtual_clock_source, recording_sink> core;
     std::uint64_t lastCaller = 0;
 
-    explicit forwarding_fixture(waiting_options waiting = {})
+    explicit forwarding_fixture(waiting_options waiting = {}, std::uint64_t seed = 1)
         : core({.dataCentre = "d", .initialEntryCount = 1, .waiting = waiting},
-               virtual_clock_source(&time), 1, directory, sink)
+               virtual_clock_source(&time), seed, directory, sink)
     {
         core.onRouteTable(tableOf());
         core.onServerList({serverOf("i-a", "desk"), serverOf("i-b", "desk"),
